--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# The two commands of the README are `make demo` and `make test`.
+BUILD ?= build/release
+PACKAGES = g++ cmake ninja-build clang-format clang-tidy curl \
+    libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev \
+    libnghttp2-dev libgflags-dev liblog4cxx-dev libcriterion-dev \
+    librapidcheck-dev libprotobuf-dev protobuf-compiler libxxhash-dev \
+    libclang-rt-14-dev
+
+.PHONY: install build test demo format
+
+# Installs the declared packages where one of them is missing.
+install:
+	@dpkg -s $(PACKAGES) > /dev/null 2>&1 || \
+	    (apt-get update && apt-get install -y $(PACKAGES))
+
+build: install
+	cmake --preset release > /dev/null
+	ninja -C $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+demo: build
+	scripts/demo.sh $(BUILD)
+
+format:
+	git ls-files '*.cpp' '*.hpp' | xargs clang-format -i
--- /dev/null
+++ b/packages/callers/include/tamarackhoist/callers/caller_wire.hpp
@@ -0,0 +1,73 @@
+#ifndef TAMARACKHOIST_CALLERS_CALLER_WIRE_HPP
+#define TAMARACKHOIST_CALLERS_CALLER_WIRE_HPP
+
+#include <optional>
+#include <string>
+#include <tamarackhoist/policy/key_range_set.hpp>
+#include <tamarackhoist/policy/order_ledger.hpp>
+#include <tamarackhoist/policy/query.hpp>
+#include <tamarackhoist/runtime/result.hpp>
+#include <tamarackhoist/transport/http_message.hpp>
+
+/// The API for callers. Every detail of its wire format is in this module;
+/// docs/design/caller-api.md describes it.
+namespace tamarackhoist::callers
+{
+
+constexpr auto query_path = "/v1/query";
+constexpr auto ticket_path = "/v1/tickets";
+constexpr auto order_path = "/v1/orders";
+constexpr auto ready_path = "/ready";
+
+/// What every request of a caller carries in its headers.
+struct caller_context {
+    std::string caller;
+    std::string request_id;
+    /// Shorter deadline than that of the caller's class, if asked for.
+    std::optional<runtime::duration> deadline;
+};
+
+struct caller_query {
+    caller_context context;
+    std::string index;
+    policy::key_range_set ranges;
+    std::string body;
+};
+
+struct caller_ticket_request {
+    caller_context context;
+    std::string service;
+};
+
+struct caller_order {
+    caller_context context;
+    std::string ticket;
+    std::string service;
+    policy::key position = 0;
+    std::string body;
+};
+
+[[nodiscard]] runtime::result<caller_query, std::string>
+decode_query(const transport::http_request& request);
+[[nodiscard]] runtime::result<caller_ticket_request, std::string>
+decode_ticket_request(const transport::http_request& request);
+[[nodiscard]] runtime::result<caller_order, std::string>
+decode_order(const transport::http_request& request);
+
+[[nodiscard]] transport::http_response
+encode_answer(const caller_context& context,
+              const policy::query_answer& answer);
+[[nodiscard]] transport::http_response
+encode_ticket(const caller_context& context,
+              const policy::order_ticket& ticket);
+[[nodiscard]] transport::http_response
+encode_outcome(const caller_context& context,
+               const policy::order_outcome& outcome);
+
+/// Encodes a refusal of a request that was not run.
+[[nodiscard]] transport::http_response
+encode_not_run(boost::beast::http::status status, std::string_view reason);
+
+} // namespace tamarackhoist::callers
+
+#endif
--- /dev/null
+++ b/packages/document/src/composition.cpp
@@ -0,0 +1,257 @@
+#include <tamarackhoist/document/composition.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace tamarackhoist::document
+{
+
+namespace
+{
+
+template <typename Content>
+const Content* find_content(const typed_sections& sections,
+                            const std::string& title)
+{
+    const auto found = sections.find(title);
+    return found == sections.end()
+               ? nullptr
+               : std::get_if<Content>(&found->second.content);
+}
+
+/// Collects the faults of one document.
+class checker
+{
+public:
+    explicit checker(const typed_sections& sections) : sections_(sections) {}
+
+    std::vector<composition_error> run()
+    {
+        for (const auto& [title, section] : sections_) {
+            current_ = &section;
+            require_section("owner", "team " + section.owner);
+            std::visit([this](const auto& content) { check(content); },
+                       section.content);
+        }
+        check_ranges();
+        check_ranks();
+        return std::move(errors_);
+    }
+
+private:
+    void fail(std::string key, std::string message,
+              std::vector<std::string> involved)
+    {
+        involved.push_back(current_->title);
+        errors_.push_back({{current_->title, std::move(key), current_->line,
+                            std::move(message)},
+                           std::move(involved)});
+    }
+
+    bool require_section(const std::string& key, const std::string& title)
+    {
+        if (sections_.contains(title)) {
+            return true;
+        }
+        fail(key, "section \"" + title + "\" does not exist", {title});
+        return false;
+    }
+
+    void check(const team&) {}
+    void check(const failure_domain&) {}
+    void check(const policy::priority_class&) {}
+    void check(const policy::service&) {}
+
+    void check(const retry_policy& content)
+    {
+        require_section({}, "class " + content.class_name);
+    }
+
+    void check(const policy::upstream& content)
+    {
+        require_section("service", "service " + content.service);
+        require_section("failure_domain",
+                        "failure_domain " + content.failure_domain);
+    }
+
+    void check(const caller_section& content)
+    {
+        require_section("query_class", "class " + content.query_class);
+        require_section("order_class", "class " + content.order_class);
+    }
+
+    void check(const shard_section& content)
+    {
+        const auto service_title = "service " + content.description.service;
+        if (!require_section("service", service_title)) {
+            return;
+        }
+        const auto* owner =
+            find_content<policy::service>(sections_, service_title);
+        const bool is_query = owner->kind == policy::service_kind::query;
+        if (is_query && content.description.index.empty()) {
+            fail("index", "a shard of a query service names its index",
+                 {service_title});
+        }
+        for (const auto& replica : content.replicas) {
+            const auto title = "upstream " + replica;
+            if (!require_section("replicas", title)) {
+                continue;
+            }
+            const auto* found =
+                find_content<policy::upstream>(sections_, title);
+            if (found->service != content.description.service) {
+                fail("replicas",
+                     "upstream \"" + replica + "\" is of service \"" +
+                         found->service + "\"",
+                     {title});
+            }
+        }
+    }
+
+    /// Checks that the shards of each index, and of each order service,
+    /// divide the whole key space.
+    void check_ranges()
+    {
+        std::map<std::string, std::vector<const typed_section*>> groups;
+        for (const auto& [title, section] : sections_) {
+            const auto* content = std::get_if<shard_section>(&section.content);
+            if (content == nullptr) {
+                continue;
+            }
+            const auto& described = content->description;
+            groups[described.index.empty()
+                       ? "service \"" + described.service + "\""
+                       : "index \"" + described.index + "\""]
+                .push_back(&section);
+        }
+        for (auto& [name, members] : groups) {
+            check_group(name, members);
+        }
+    }
+
+    void check_group(const std::string& name,
+                     std::vector<const typed_section*>& members)
+    {
+        const auto range_of = [](const typed_section* section) {
+            return std::get<shard_section>(section->content).description.range;
+        };
+        std::ranges::sort(members, {}, range_of);
+        std::vector<std::string> titles;
+        for (const auto* each : members) {
+            titles.push_back(each->title);
+        }
+        policy::key next = 0;
+        for (const auto* each : members) {
+            current_ = each;
+            const auto range = range_of(each);
+            if (range.begin > next) {
+                fail("range",
+                     "the shards of " + name + " leave a hole before " +
+                         std::to_string(range.begin),
+                     titles);
+            } else if (range.begin < next) {
+                fail("range",
+                     "the shards of " + name + " overlap at " +
+                         std::to_string(range.begin),
+                     titles);
+            }
+            next = std::max(next, range.end);
+        }
+        if (next != policy::key_space_end) {
+            fail("range",
+                 "the shards of " + name + " leave a hole after " +
+                     std::to_string(next),
+                 titles);
+        }
+    }
+
+    void check_ranks()
+    {
+        std::map<std::uint32_t, std::string> titles;
+        double shares = 0;
+        std::vector<std::string> involved;
+        for (const auto& [title, section] : sections_) {
+            const auto* content =
+                std::get_if<policy::priority_class>(&section.content);
+            if (content == nullptr) {
+                continue;
+            }
+            current_ = &section;
+            involved.push_back(title);
+            shares += content->guaranteed_share;
+            const auto [other, is_new] = titles.emplace(content->rank, title);
+            if (!is_new) {
+                fail("rank",
+                     "section \"" + other->second + "\" has the same rank",
+                     {other->second});
+            }
+        }
+        if (shares > 1) {
+            fail("guaranteed_share", "the shares of all classes exceed 1",
+                 involved);
+        }
+    }
+
+    const typed_sections& sections_;
+    const typed_section* current_ = nullptr;
+    std::vector<composition_error> errors_;
+};
+
+template <typename Content, typename Action>
+void for_each_content(const typed_sections& sections, Action action)
+{
+    for (const auto& [title, section] : sections) {
+        const auto* content = std::get_if<Content>(&section.content);
+        if (content == nullptr) {
+            continue;
+        }
+        action(*content);
+    }
+}
+
+} // namespace
+
+std::vector<composition_error> check_composition(const typed_sections& sections)
+{
+    return checker(sections).run();
+}
+
+policy::deployment_pointer compose(const typed_sections& sections,
+                                   std::uint64_t epoch)
+{
+    policy::deployment::builder builder;
+    builder.epoch(epoch);
+    std::vector<policy::priority_class> classes;
+    for_each_content<policy::priority_class>(sections, [&](auto value) {
+        const auto* retries =
+            find_content<retry_policy>(sections, "retry " + value.name);
+        if (retries != nullptr) {
+            value.max_attempts = retries->max_attempts;
+            value.may_hedge = retries->may_hedge;
+        }
+        classes.push_back(value);
+    });
+    std::ranges::sort(classes, {}, &policy::priority_class::rank);
+    for (const auto& each : classes) {
+        builder.add(each);
+    }
+    const auto position_of = [&](const std::string& name) {
+        const auto found =
+            std::ranges::find(classes, name, &policy::priority_class::name);
+        return static_cast<policy::class_index>(found - classes.begin());
+    };
+    for_each_content<policy::service>(
+        sections, [&](const auto& value) { builder.add(value); });
+    for_each_content<policy::upstream>(
+        sections, [&](const auto& value) { builder.add(value); });
+    for_each_content<shard_section>(
+        sections, [&](const auto& value) { builder.add(value.description); });
+    for_each_content<caller_section>(sections, [&](const auto& value) {
+        builder.add(policy::caller{value.name, position_of(value.query_class),
+                                   position_of(value.order_class)});
+    });
+    return builder.build();
+}
+
+} // namespace tamarackhoist::document
--- /dev/null
+++ b/packages/node/include/tamarackhoist/node/cluster.hpp
@@ -0,0 +1,52 @@
+#ifndef TAMARACKHOIST_NODE_CLUSTER_HPP
+#define TAMARACKHOIST_NODE_CLUSTER_HPP
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <tamarackhoist/peers/member.hpp>
+#include <tamarackhoist/policy/ownership.hpp>
+#include <tamarackhoist/runtime/snapshot.hpp>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackhoist::node
+{
+
+/// What a node believes at one moment: the configuration in force, the
+/// members, and who owns each upstream.
+struct cluster_view {
+    policy::deployment_pointer deployment;
+    std::unordered_map<policy::node_id, peers::member> members;
+    policy::ownership owners;
+};
+
+using cluster_view_pointer = std::shared_ptr<const cluster_view>;
+
+/// Publishes the current view by read-copy-update. Thread-safe.
+class cluster
+{
+public:
+    using change_hook = std::function<void(const cluster_view_pointer&)>;
+
+    cluster();
+
+    /// Calls `hook` with each new view, on the thread that changed it.
+    void on_change(change_hook hook);
+
+    void set_deployment(policy::deployment_pointer deployment);
+    void set_members(const std::vector<peers::member>& members);
+
+    [[nodiscard]] cluster_view_pointer view() const { return view_.read(); }
+
+private:
+    void publish(cluster_view next);
+
+    std::mutex mutex_;
+    std::vector<change_hook> hooks_;
+    runtime::snapshot<cluster_view> view_;
+};
+
+} // namespace tamarackhoist::node
+
+#endif
--- /dev/null
+++ b/packages/node/src/cluster.cpp
@@ -0,0 +1,66 @@
+#include <tamarackhoist/node/cluster.hpp>
+
+#include <utility>
+
+namespace tamarackhoist::node
+{
+
+namespace
+{
+
+policy::ownership compute_owners(const cluster_view& view)
+{
+    if (!view.deployment) {
+        return {};
+    }
+    std::vector<policy::node_view> nodes;
+    for (const auto& [id, each] : view.members) {
+        if (each.state == peers::member_state::dead) {
+            continue;
+        }
+        nodes.push_back({id, each.failure_domain,
+                         each.state == peers::member_state::leaving});
+    }
+    return {*view.deployment, nodes};
+}
+
+} // namespace
+
+cluster::cluster() : view_(std::make_shared<const cluster_view>()) {}
+
+void cluster::on_change(change_hook hook)
+{
+    const std::lock_guard guard(mutex_);
+    hooks_.push_back(std::move(hook));
+}
+
+void cluster::set_deployment(policy::deployment_pointer deployment)
+{
+    const std::lock_guard guard(mutex_);
+    auto next = *view_.read();
+    next.deployment = std::move(deployment);
+    publish(std::move(next));
+}
+
+void cluster::set_members(const std::vector<peers::member>& members)
+{
+    const std::lock_guard guard(mutex_);
+    auto next = *view_.read();
+    next.members.clear();
+    for (const auto& each : members) {
+        next.members[each.id()] = each;
+    }
+    publish(std::move(next));
+}
+
+void cluster::publish(cluster_view next)
+{
+    next.owners = compute_owners(next);
+    auto published = std::make_shared<const cluster_view>(std::move(next));
+    view_.publish(published);
+    for (const auto& hook : hooks_) {
+        hook(published);
+    }
+}
+
+} // namespace tamarackhoist::node
--- /dev/null
+++ b/packages/node/src/peer_directory.cpp
@@ -0,0 +1,44 @@
+#include <tamarackhoist/node/peer_directory.hpp>
+
+#include <utility>
+
+namespace tamarackhoist::node
+{
+
+peer_directory::peer_directory(boost::asio::any_io_executor executor)
+    : executor_(std::move(executor))
+{
+}
+
+void peer_directory::set_view(const cluster_view& view)
+{
+    const std::lock_guard guard(mutex_);
+    std::erase_if(links_, [&](auto& item) {
+        const auto found = view.members.find(item.first);
+        const bool is_current =
+            found != view.members.end() &&
+            found->second.state != peers::member_state::dead &&
+            found->second.incarnation == item.second.incarnation;
+        if (!is_current) {
+            item.second.link->close();
+        }
+        return !is_current;
+    });
+}
+
+std::shared_ptr<peers::peer_link>
+peer_directory::link_to(const peers::member& peer)
+{
+    const std::lock_guard guard(mutex_);
+    auto& each = links_[peer.id()];
+    if (!each.link || each.incarnation != peer.incarnation) {
+        if (each.link) {
+            each.link->close();
+        }
+        each.incarnation = peer.incarnation;
+        each.link = peers::peer_link::create(executor_, peer.where);
+    }
+    return each.link;
+}
+
+} // namespace tamarackhoist::node
--- /dev/null
+++ b/packages/peers/include/tamarackhoist/peers/peer_server.hpp
@@ -0,0 +1,89 @@
+#ifndef TAMARACKHOIST_PEERS_PEER_SERVER_HPP
+#define TAMARACKHOIST_PEERS_PEER_SERVER_HPP
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <tamarackhoist/peers/gossip_message.hpp>
+#include <tamarackhoist/peers/http2_channel.hpp>
+#include <tamarackhoist/runtime/result.hpp>
+#include <tamarackhoist/transport/endpoint.hpp>
+
+namespace tamarackhoist::peers
+{
+
+/// One incoming call; replies may be sent from any thread.
+class incoming_call
+{
+public:
+    incoming_call(std::shared_ptr<http2_channel> channel,
+                  http2_channel::stream_id stream, call_path path,
+                  std::string body);
+
+    [[nodiscard]] call_path path() const { return path_; }
+    [[nodiscard]] const std::string& body() const { return body_; }
+    void reply(std::string message) const;
+    void finish() const;
+
+private:
+    std::shared_ptr<http2_channel> channel_;
+    http2_channel::stream_id stream_;
+    call_path path_;
+    std::string body_;
+};
+
+/// The peer port of one node: calls over TCP and gossip over UDP. Must be
+/// owned by a shared pointer.
+class peer_server : public std::enable_shared_from_this<peer_server>
+{
+public:
+    struct hooks {
+        /// Called on any thread.
+        std::function<void(const std::shared_ptr<incoming_call>&)> on_call;
+        /// Called on the datagram strand, one at a time.
+        std::function<void(const gossip_message&)> on_gossip;
+    };
+
+    [[nodiscard]] static runtime::result<std::shared_ptr<peer_server>,
+                                         std::string>
+    create(const boost::asio::any_io_executor& executor,
+           const transport::endpoint& where, hooks actions);
+
+    void start();
+    void stop();
+
+    /// Sends one datagram. A datagram that cannot be sent is lost.
+    void send_gossip(const transport::endpoint& target,
+                     const gossip_message& message);
+
+    /// Returns the executor on which gossip is handled.
+    [[nodiscard]] boost::asio::any_io_executor gossip_executor()
+    {
+        return datagrams_.get_executor();
+    }
+
+private:
+    peer_server(boost::asio::any_io_executor executor,
+                boost::asio::ip::tcp::acceptor acceptor,
+                boost::asio::ip::udp::socket datagrams, hooks actions);
+
+    void accept_next();
+    void serve(boost::asio::ip::tcp::socket socket);
+    void receive_next();
+
+    boost::asio::any_io_executor executor_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::udp::socket datagrams_;
+    const hooks actions_;
+    std::array<char, 2 * max_datagram_bytes> datagram_buffer_{};
+    boost::asio::ip::udp::endpoint datagram_sender_;
+    bool is_stopped_ = false;
+};
+
+} // namespace tamarackhoist::peers
+
+#endif
--- /dev/null
+++ b/packages/peers/src/peer_codec.cpp
@@ -0,0 +1,290 @@
+#include <tamarackhoist/peers/peer_codec.hpp>
+
+#include <algorithm>
+#include <peer_messages.pb.h>
+#include <tamarackhoist/peers/gossip_message.hpp>
+
+namespace tamarackhoist::peers
+{
+
+namespace
+{
+
+std::uint64_t to_microseconds(runtime::duration value)
+{
+    const auto count =
+        std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+}
+
+/// Longest duration that a peer may state.
+constexpr std::uint64_t max_microseconds = 3'600'000'000;
+
+runtime::duration from_microseconds(std::uint64_t value)
+{
+    return std::chrono::microseconds(std::min(value, max_microseconds));
+}
+
+template <typename Message>
+bool parse(std::string_view text, Message& message)
+{
+    return message.ParseFromArray(text.data(), static_cast<int>(text.size()));
+}
+
+bool is_valid(const wire::KeyRange& range)
+{
+    return range.begin() <= range.end() && range.end() <= policy::key_space_end;
+}
+
+} // namespace
+
+std::string encode_sub_requests(std::span<const policy::sub_request> requests,
+                                runtime::time_point now)
+{
+    wire::SubRequestBatch batch;
+    batch.set_protocol(protocol_version);
+    const auto* shared =
+        requests.empty() ? nullptr : requests.front().body.get();
+    if (shared != nullptr) {
+        batch.set_body(*shared);
+    }
+    for (const auto& each : requests) {
+        auto* encoded = batch.add_requests();
+        encoded->set_origin(each.id.origin);
+        encoded->set_serial(each.id.serial);
+        encoded->set_target(each.target.value);
+        encoded->set_rank(static_cast<std::uint32_t>(each.rank));
+        encoded->set_remaining_us(to_microseconds(each.deadline - now));
+        encoded->mutable_range()->set_begin(each.range.begin);
+        encoded->mutable_range()->set_end(each.range.end);
+        encoded->set_version(each.version);
+        encoded->set_is_idempotent(each.is_idempotent);
+        encoded->set_is_hedge(each.is_hedge);
+        if (each.body.get() != shared && each.body) {
+            encoded->set_body(*each.body);
+        }
+    }
+    return batch.SerializeAsString();
+}
+
+std::optional<std::vector<policy::sub_request>>
+decode_sub_requests(std::string_view message, runtime::time_point now)
+{
+    wire::SubRequestBatch batch;
+    if (!parse(message, batch) || batch.protocol() != protocol_version) {
+        return std::nullopt;
+    }
+    const auto shared = std::make_shared<const std::string>(batch.body());
+    std::vector<policy::sub_request> requests;
+    for (const auto& each : batch.requests()) {
+        if (!is_valid(each.range())) {
+            return std::nullopt;
+        }
+        policy::sub_request request;
+        request.id = {each.origin(), each.serial()};
+        request.target = {each.target()};
+        request.rank = each.rank();
+        request.deadline = now + from_microseconds(each.remaining_us());
+        request.range = {each.range().begin(), each.range().end()};
+        request.version = each.version();
+        request.is_idempotent = each.is_idempotent();
+        request.is_hedge = each.is_hedge();
+        request.body = each.body().empty()
+                           ? shared
+                           : std::make_shared<const std::string>(each.body());
+        requests.push_back(std::move(request));
+    }
+    return requests;
+}
+
+std::string encode_sub_reply(const policy::sub_reply& reply)
+{
+    wire::SubReply encoded;
+    encoded.set_origin(reply.id.origin);
+    encoded.set_serial(reply.id.serial);
+    encoded.set_source(reply.source.value);
+    encoded.set_outcome(static_cast<std::uint32_t>(reply.outcome));
+    encoded.set_reason(static_cast<std::uint32_t>(reply.reason));
+    encoded.set_waited_us(to_microseconds(reply.waited));
+    encoded.set_version(reply.version);
+    for (const auto& range : reply.covered.ranges()) {
+        auto* covered = encoded.add_covered();
+        covered->set_begin(range.begin);
+        covered->set_end(range.end);
+    }
+    for (const auto& item : reply.items) {
+        auto* added = encoded.add_items();
+        added->set_key(item.position);
+        added->set_value(item.value);
+    }
+    auto* load = encoded.mutable_load();
+    load->set_rank(static_cast<std::uint32_t>(reply.load.rank));
+    load->set_queue_delay_us(to_microseconds(reply.load.queue_delay));
+    load->set_service_time_us(to_microseconds(reply.load.service_time));
+    load->set_version_low(reply.load.versions.low);
+    load->set_version_high(reply.load.versions.high);
+    load->set_is_draining(reply.load.is_draining);
+    load->set_is_suspect(reply.load.is_suspect);
+    return encoded.SerializeAsString();
+}
+
+std::optional<policy::sub_reply> decode_sub_reply(std::string_view message)
+{
+    constexpr auto greatest_outcome =
+        static_cast<std::uint32_t>(policy::sub_outcome::failed);
+    constexpr auto greatest_reason =
+        static_cast<std::uint32_t>(policy::refusal::queue_full);
+    wire::SubReply encoded;
+    if (!parse(message, encoded) || encoded.outcome() > greatest_outcome ||
+        encoded.reason() > greatest_reason) {
+        return std::nullopt;
+    }
+    policy::sub_reply reply;
+    reply.id = {encoded.origin(), encoded.serial()};
+    reply.source = {encoded.source()};
+    reply.outcome = static_cast<policy::sub_outcome>(encoded.outcome());
+    reply.reason = static_cast<policy::refusal>(encoded.reason());
+    reply.waited = from_microseconds(encoded.waited_us());
+    reply.version = encoded.version();
+    for (const auto& range : encoded.covered()) {
+        if (!is_valid(range)) {
+            return std::nullopt;
+        }
+        reply.covered.add({range.begin(), range.end()});
+    }
+    for (const auto& item : encoded.items()) {
+        reply.items.push_back({item.key(), item.value()});
+    }
+    const auto& load = encoded.load();
+    reply.load = {load.rank(),
+                  from_microseconds(load.queue_delay_us()),
+                  from_microseconds(load.service_time_us()),
+                  {load.version_low(), load.version_high()},
+                  load.is_draining(),
+                  load.is_suspect()};
+    return reply;
+}
+
+std::string encode_cancel(const cancel_request& request)
+{
+    wire::CancelRequest encoded;
+    encoded.set_origin(request.id.origin);
+    encoded.set_serial(request.id.serial);
+    encoded.set_target(request.target.value);
+    return encoded.SerializeAsString();
+}
+
+std::optional<cancel_request> decode_cancel(std::string_view message)
+{
+    wire::CancelRequest encoded;
+    if (!parse(message, encoded)) {
+        return std::nullopt;
+    }
+    return cancel_request{{encoded.origin(), encoded.serial()},
+                          {encoded.target()}};
+}
+
+std::string encode_order(const forwarded_order& order)
+{
+    wire::ForwardedOrder encoded;
+    encoded.set_protocol(protocol_version);
+    encoded.set_ticket(order.ticket.to_text());
+    encoded.set_service(order.service);
+    encoded.set_key(order.position);
+    encoded.set_rank(static_cast<std::uint32_t>(order.rank));
+    encoded.set_remaining_us(to_microseconds(order.remaining));
+    encoded.set_body(order.body);
+    return encoded.SerializeAsString();
+}
+
+std::optional<forwarded_order> decode_order(std::string_view message)
+{
+    wire::ForwardedOrder encoded;
+    if (!parse(message, encoded) || encoded.protocol() != protocol_version ||
+        encoded.key() >= policy::key_space_end) {
+        return std::nullopt;
+    }
+    const auto ticket = policy::order_ticket::parse(encoded.ticket());
+    if (!ticket) {
+        return std::nullopt;
+    }
+    return forwarded_order{*ticket,
+                           encoded.service(),
+                           encoded.key(),
+                           encoded.rank(),
+                           from_microseconds(encoded.remaining_us()),
+                           encoded.body()};
+}
+
+std::string encode_outcome(const policy::order_outcome& outcome)
+{
+    wire::OrderOutcome encoded;
+    encoded.set_status(static_cast<std::uint32_t>(outcome.status));
+    encoded.set_reason(outcome.reason);
+    encoded.set_body(outcome.body);
+    return encoded.SerializeAsString();
+}
+
+std::optional<policy::order_outcome> decode_outcome(std::string_view message)
+{
+    constexpr auto greatest_status =
+        static_cast<std::uint32_t>(policy::order_status::unknown);
+    wire::OrderOutcome encoded;
+    if (!parse(message, encoded) || encoded.status() > greatest_status) {
+        return std::nullopt;
+    }
+    return policy::order_outcome{
+        static_cast<policy::order_status>(encoded.status()), encoded.reason(),
+        encoded.body()};
+}
+
+std::string encode_document_request(const document_request& request)
+{
+    wire::DocumentRequest encoded;
+    encoded.set_protocol(protocol_version);
+    encoded.set_after_revision(request.after_revision);
+    encoded.set_wants_all(request.wants_all);
+    return encoded.SerializeAsString();
+}
+
+std::optional<document_request>
+decode_document_request(std::string_view message)
+{
+    wire::DocumentRequest encoded;
+    if (!parse(message, encoded) || encoded.protocol() != protocol_version) {
+        return std::nullopt;
+    }
+    return document_request{encoded.after_revision(), encoded.wants_all()};
+}
+
+std::string encode_sections(std::span<const shared_section> sections)
+{
+    wire::DocumentRecords encoded;
+    encoded.set_protocol(protocol_version);
+    for (const auto& each : sections) {
+        auto* record = encoded.add_records();
+        record->set_title(each.title);
+        record->set_source(each.source);
+        record->set_revision(each.revision);
+        record->set_text(each.text);
+        record->set_is_removed(each.is_removed);
+    }
+    return encoded.SerializeAsString();
+}
+
+std::optional<std::vector<shared_section>>
+decode_sections(std::string_view message)
+{
+    wire::DocumentRecords encoded;
+    if (!parse(message, encoded) || encoded.protocol() != protocol_version) {
+        return std::nullopt;
+    }
+    std::vector<shared_section> sections;
+    for (const auto& each : encoded.records()) {
+        sections.push_back({each.title(), each.source(), each.revision(),
+                            each.text(), each.is_removed()});
+    }
+    return sections;
+}
+
+} // namespace tamarackhoist::peers
--- /dev/null
+++ b/packages/policy/include/tamarackhoist/policy/deployment.hpp
@@ -0,0 +1,162 @@
+#ifndef TAMARACKHOIST_POLICY_DEPLOYMENT_HPP
+#define TAMARACKHOIST_POLICY_DEPLOYMENT_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <tamarackhoist/policy/identifier.hpp>
+#include <tamarackhoist/policy/key_range.hpp>
+#include <tamarackhoist/runtime/time.hpp>
+#include <unordered_map>
+#include <vector>
+
+/// The effective configuration, as the policy reads it.
+namespace tamarackhoist::policy
+{
+
+/// Position of a priority class in `deployment::classes()`; 0 is the most
+/// urgent.
+using class_index = std::size_t;
+
+struct priority_class {
+    std::string name;
+    /// Order of urgency; 0 is served first.
+    std::uint32_t rank = 0;
+    /// Time from arrival within which a request is answered.
+    runtime::duration deadline{};
+    /// Share of an upstream's time that this class keeps under any flood.
+    double guaranteed_share = 0;
+    /// Whether callers of this class accept partial coverage.
+    bool allows_partial = false;
+    /// Whether idempotent requests may be hedged.
+    bool may_hedge = false;
+    /// Attempts for one shard, the first included.
+    std::uint32_t max_attempts = 1;
+};
+
+enum class service_kind {
+    /// Idempotent reads of a part of an index.
+    query,
+    /// Non-idempotent requests.
+    order
+};
+
+struct upstream {
+    upstream_id id;
+    std::string name;
+    std::string service;
+    std::string address;
+    std::uint16_t port = 0;
+    std::string failure_domain;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 1;
+};
+
+struct shard {
+    std::string name;
+    std::string service;
+    /// Index whose keys this shard holds; empty for an order service.
+    std::string index;
+    key_range range;
+    std::vector<upstream_id> replicas;
+};
+
+struct service {
+    std::string name;
+    service_kind kind = service_kind::query;
+};
+
+struct caller {
+    std::string name;
+    class_index query_class = 0;
+    class_index order_class = 0;
+};
+
+/// Immutable set of everything that the document describes.
+class deployment
+{
+public:
+    class builder;
+
+    /// Greatest revision of any section in force.
+    [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
+
+    [[nodiscard]] std::span<const priority_class> classes() const
+    {
+        return classes_;
+    }
+    [[nodiscard]] std::span<const upstream> upstreams() const
+    {
+        return upstreams_;
+    }
+    [[nodiscard]] std::span<const service> services() const
+    {
+        return services_;
+    }
+
+    /// Returns the shards of `index`, ordered by range; empty when unknown.
+    [[nodiscard]] std::span<const shard>
+    shards_of_index(std::string_view index) const;
+
+    /// Returns the shards of the order service `name`; empty when unknown.
+    [[nodiscard]] std::span<const shard>
+    shards_of_service(std::string_view name) const;
+
+    /// Returns the upstream, or nullptr when the document has none.
+    [[nodiscard]] const upstream* find_upstream(upstream_id id) const;
+
+    /// Returns the caller, or nullptr when the document has none.
+    [[nodiscard]] const caller* find_caller(std::string_view name) const;
+
+    [[nodiscard]] const service* find_service(std::string_view name) const;
+
+private:
+    struct text_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const
+        {
+            return hash_text(text);
+        }
+    };
+    template <typename Value>
+    using text_map =
+        std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
+
+    std::uint64_t epoch_ = 0;
+    std::vector<priority_class> classes_;
+    std::vector<upstream> upstreams_;
+    std::vector<service> services_;
+    std::unordered_map<upstream_id, std::size_t> upstream_positions_;
+    text_map<std::vector<shard>> shards_by_index_;
+    text_map<std::vector<shard>> shards_by_service_;
+    text_map<caller> callers_;
+};
+
+using deployment_pointer = std::shared_ptr<const deployment>;
+
+/// Collects the parts of a deployment. Parts are expected to be valid; the
+/// document package checks them.
+class deployment::builder
+{
+public:
+    builder& epoch(std::uint64_t value);
+    builder& add(priority_class value);
+    builder& add(service value);
+    builder& add(upstream value);
+    builder& add(shard value);
+    builder& add(caller value);
+
+    /// Returns the deployment, with classes ordered by rank and shards by
+    /// range.
+    [[nodiscard]] deployment_pointer build();
+
+private:
+    deployment value_;
+};
+
+} // namespace tamarackhoist::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/include/tamarackhoist/policy/order_ledger.hpp
@@ -0,0 +1,99 @@
+#ifndef TAMARACKHOIST_POLICY_ORDER_LEDGER_HPP
+#define TAMARACKHOIST_POLICY_ORDER_LEDGER_HPP
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <tamarackhoist/policy/order_ticket.hpp>
+#include <tamarackhoist/runtime/time.hpp>
+#include <utility>
+#include <vector>
+
+namespace tamarackhoist::policy
+{
+
+enum class order_status {
+    /// The upstream ran the request; `body` is its reply.
+    ran,
+    /// No upstream ran the request.
+    not_run,
+    /// Whether an upstream ran the request cannot be known here.
+    unknown
+};
+
+/// Returns the name of `status` as shown to callers.
+[[nodiscard]] const char* to_string(order_status status);
+
+struct order_outcome {
+    order_status status = order_status::unknown;
+    /// Reason of a refusal or of an unknown outcome.
+    std::string reason;
+    std::string body;
+};
+
+/// Every ticket that this node incarnation issued, with its outcome, until
+/// it expires. This is what makes a request run at most once: a ticket that
+/// is not in the ledger never runs. Thread-safe.
+class order_ledger
+{
+public:
+    static constexpr runtime::duration lifetime = std::chrono::minutes(10);
+    static constexpr std::size_t max_tickets = 200'000;
+
+    using waiter = std::function<void(const order_outcome&)>;
+
+    order_ledger(node_id self, std::uint64_t incarnation, std::uint64_t seed);
+
+    /// Issues a ticket for one request to `service`, or nothing when too
+    /// many tickets are outstanding.
+    [[nodiscard]] std::optional<order_ticket> issue(std::string service,
+                                                    runtime::time_point now);
+
+    enum class claim_result {
+        /// The caller of `claim` runs the request and then settles it.
+        run,
+        /// Another attempt is in progress; the waiter gets its outcome.
+        attached,
+        /// The outcome is known; the waiter was called.
+        answered
+    };
+
+    /// Claims the right to run the request of `ticket`.
+    [[nodiscard]] claim_result claim(const order_ticket& ticket,
+                                     const std::string& service,
+                                     runtime::time_point now, waiter waiting);
+
+    /// Records the outcome of a claimed ticket and calls its waiters. After
+    /// `not_run` the ticket may be claimed again. An `unknown` outcome may
+    /// be replaced later, when the reply arrives after all.
+    void settle(const order_ticket& ticket, const order_outcome& outcome);
+
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    enum class entry_state { issued, running, settled };
+    struct entry {
+        std::string service;
+        entry_state state = entry_state::issued;
+        order_outcome outcome;
+        std::vector<waiter> waiters;
+    };
+
+    void expire(runtime::time_point now);
+
+    const node_id self_;
+    const std::uint64_t incarnation_;
+    mutable std::mutex mutex_;
+    std::mt19937_64 random_;
+    std::map<order_ticket, entry> entries_;
+    std::deque<std::pair<runtime::time_point, order_ticket>> expiries_;
+};
+
+} // namespace tamarackhoist::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/admission_control.cpp
@@ -0,0 +1,100 @@
+#include <tamarackhoist/policy/admission_control.hpp>
+
+#include <algorithm>
+
+namespace tamarackhoist::policy
+{
+
+namespace
+{
+
+constexpr runtime::duration interval = std::chrono::milliseconds(100);
+/// Part of the finished queries that may be congested without a decrease.
+constexpr double tolerated_congestion = 0.1;
+constexpr double largest_decrease = 0.5;
+constexpr double smallest_decrease = 0.95;
+constexpr double increase = 1.05;
+/// Queries per second that are always admitted, so that the state of an
+/// overloaded index is still observed.
+constexpr double min_rate = 2;
+/// Seconds of admitted queries that may start at once.
+constexpr double burst_seconds = 0.05;
+/// The limit is lifted when the offered rate falls below this part of it.
+constexpr double idle_fraction = 0.7;
+/// Weight of the newest interval in the smoothed rate of complete answers.
+constexpr double smoothing = 0.3;
+
+} // namespace
+
+bool admission_control::try_admit(runtime::time_point now)
+{
+    const std::lock_guard guard(mutex_);
+    close_interval(now);
+    ++counts_.offered;
+    if (limit_) {
+        const auto elapsed = runtime::to_seconds(now - refilled_at_);
+        const auto capacity = std::max(1.0, *limit_ * burst_seconds);
+        tokens_ = std::min(capacity, tokens_ + elapsed * *limit_);
+        refilled_at_ = now;
+        if (tokens_ < 1) {
+            return false;
+        }
+        tokens_ -= 1;
+    }
+    ++counts_.admitted;
+    return true;
+}
+
+void admission_control::on_finished(bool is_congested, bool is_complete,
+                                    runtime::time_point now)
+{
+    const std::lock_guard guard(mutex_);
+    close_interval(now);
+    ++counts_.finished;
+    counts_.congested += is_congested ? 1 : 0;
+    counts_.complete += is_complete ? 1 : 0;
+}
+
+void admission_control::close_interval(runtime::time_point now)
+{
+    const auto elapsed = now - interval_start_;
+    if (elapsed < interval) {
+        return;
+    }
+    const auto seconds = runtime::to_seconds(elapsed);
+    const auto closed = counts_;
+    counts_ = {};
+    interval_start_ = now;
+    complete_rate_ += smoothing * (closed.complete / seconds - complete_rate_);
+    const bool is_congested =
+        closed.congested > tolerated_congestion * closed.finished;
+    const auto offered_rate = closed.offered / seconds;
+    if (is_congested) {
+        const auto current = limit_.value_or(closed.admitted / seconds);
+        const auto wanted =
+            std::clamp(complete_rate_ * smallest_decrease,
+                       current * largest_decrease, current * smallest_decrease);
+        if (!limit_) {
+            tokens_ = 0;
+            refilled_at_ = now;
+        }
+        limit_ = std::max(min_rate, wanted);
+        return;
+    }
+    if (!limit_) {
+        return;
+    }
+    if (offered_rate < *limit_ * idle_fraction) {
+        limit_.reset();
+        return;
+    }
+    *limit_ *= increase;
+}
+
+std::optional<double> admission_control::limit() const
+{
+    const std::lock_guard guard(mutex_);
+    return limit_;
+}
+
+} // namespace tamarackhoist::policy
--- /dev/null
+++ b/packages/policy/src/order_ledger.cpp
@@ -0,0 +1,116 @@
+#include <tamarackhoist/policy/order_ledger.hpp>
+
+#include <cassert>
+
+namespace tamarackhoist::policy
+{
+
+const char* to_string(order_status status)
+{
+    switch (status) {
+    case order_status::ran:
+        return "ran";
+    case order_status::not_run:
+        return "not_run";
+    case order_status::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+order_ledger::order_ledger(node_id self, std::uint64_t incarnation,
+                           std::uint64_t seed)
+    : self_(self), incarnation_(incarnation), random_(seed)
+{
+}
+
+std::optional<order_ticket> order_ledger::issue(std::string service,
+                                                runtime::time_point now)
+{
+    const std::lock_guard guard(mutex_);
+    expire(now);
+    if (entries_.size() >= max_tickets) {
+        return std::nullopt;
+    }
+    const order_ticket ticket{self_, incarnation_, random_(), random_()};
+    entries_[ticket].service = std::move(service);
+    expiries_.emplace_back(now + lifetime, ticket);
+    return ticket;
+}
+
+order_ledger::claim_result order_ledger::claim(const order_ticket& ticket,
+                                               const std::string& service,
+                                               runtime::time_point now,
+                                               waiter waiting)
+{
+    order_outcome known;
+    {
+        const std::lock_guard guard(mutex_);
+        expire(now);
+        const auto found = entries_.find(ticket);
+        if (found == entries_.end()) {
+            // Expired, or issued by an earlier incarnation of this node:
+            // whether it ran is no longer known.
+            known = {order_status::unknown, "ticket is not remembered", {}};
+        } else if (found->second.service != service) {
+            known = {order_status::not_run,
+                     "ticket was issued for service \"" +
+                         found->second.service + "\"",
+                     {}};
+        } else if (found->second.state == entry_state::issued) {
+            found->second.state = entry_state::running;
+            found->second.waiters.push_back(std::move(waiting));
+            return claim_result::run;
+        } else if (found->second.state == entry_state::running) {
+            found->second.waiters.push_back(std::move(waiting));
+            return claim_result::attached;
+        } else {
+            known = found->second.outcome;
+        }
+    }
+    waiting(known);
+    return claim_result::answered;
+}
+
+void order_ledger::settle(const order_ticket& ticket,
+                          const order_outcome& outcome)
+{
+    std::vector<waiter> waiters;
+    {
+        const std::lock_guard guard(mutex_);
+        const auto found = entries_.find(ticket);
+        if (found == entries_.end()) {
+            return;
+        }
+        auto& each = found->second;
+        const bool is_final = each.state == entry_state::settled &&
+                              each.outcome.status == order_status::ran;
+        if (is_final) {
+            return;
+        }
+        each.outcome = outcome;
+        each.state = outcome.status == order_status::not_run
+                         ? entry_state::issued
+                         : entry_state::settled;
+        waiters.swap(each.waiters);
+    }
+    for (const auto& each : waiters) {
+        each(outcome);
+    }
+}
+
+std::size_t order_ledger::size() const
+{
+    const std::lock_guard guard(mutex_);
+    return entries_.size();
+}
+
+void order_ledger::expire(runtime::time_point now)
+{
+    while (!expiries_.empty() && expiries_.front().first <= now) {
+        entries_.erase(expiries_.front().second);
+        expiries_.pop_front();
+    }
+}
+
+} // namespace tamarackhoist::policy
--- /dev/null
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -0,0 +1,57 @@
+#ifndef TAMARACKHOIST_RUNTIME_EVENT_HPP
+#define TAMARACKHOIST_RUNTIME_EVENT_HPP
+
+#include <span>
+#include <string_view>
+
+/// Numbered log events. docs/EVENTS.md is their catalogue.
+namespace tamarackhoist::runtime
+{
+
+/// Number of a log event. A number is never reused for another meaning.
+enum class event_number {
+    node_started = 100,
+    node_ready = 101,
+    node_leaving = 102,
+    node_stopped = 103,
+    resumed_after_pause = 104,
+    caller_connection_failed = 200,
+    caller_request_rejected = 201,
+    upstream_unreachable = 300,
+    upstream_draining = 301,
+    upstream_suspect = 302,
+    peer_connection_failed = 400,
+    peer_message_rejected = 401,
+    member_joined = 410,
+    member_suspected = 411,
+    member_left = 412,
+    section_accepted = 500,
+    section_refused = 501,
+    document_unconfirmed = 502,
+    platform_read_failed = 510,
+    platform_answer_rejected = 511,
+    ownership_changed = 520,
+    request_outcome_unknown = 600,
+};
+
+enum class severity { information, warning, error };
+
+/// Catalogue entry of one event.
+struct event_description {
+    event_number number;
+    severity level;
+    std::string_view name;
+};
+
+/// Returns the description of every event, ordered by number.
+[[nodiscard]] std::span<const event_description> event_catalogue();
+
+/// Writes one event to the log with its number, its name and `detail`.
+void log_event(event_number number, std::string_view detail);
+
+/// Directs log output to standard error. Without this call nothing is logged.
+void configure_log();
+
+} // namespace tamarackhoist::runtime
+
+#endif
--- /dev/null
+++ b/packages/transport/include/tamarackhoist/transport/http_message.hpp
@@ -0,0 +1,27 @@
+#ifndef TAMARACKHOIST_TRANSPORT_HTTP_MESSAGE_HPP
+#define TAMARACKHOIST_TRANSPORT_HTTP_MESSAGE_HPP
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+/// HTTP/1.1 client and server shared by the packages of the single peers.
+namespace tamarackhoist::transport
+{
+
+using http_request =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using http_response =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Returns a response with a body of the given media type.
+[[nodiscard]] http_response make_response(boost::beast::http::status status,
+                                          std::string body,
+                                          std::string_view media_type);
+
+/// Returns a response with a JSON body.
+[[nodiscard]] http_response make_json(boost::beast::http::status status,
+                                      std::string body);
+
+} // namespace tamarackhoist::transport
+
+#endif
--- /dev/null
+++ b/packages/transport/include/tamarackhoist/transport/http_server.hpp
@@ -0,0 +1,77 @@
+#ifndef TAMARACKHOIST_TRANSPORT_HTTP_SERVER_HPP
+#define TAMARACKHOIST_TRANSPORT_HTTP_SERVER_HPP
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <tamarackhoist/runtime/result.hpp>
+#include <tamarackhoist/runtime/time.hpp>
+#include <tamarackhoist/transport/endpoint.hpp>
+#include <tamarackhoist/transport/http_message.hpp>
+
+namespace tamarackhoist::transport
+{
+
+struct http_server_limits {
+    std::size_t max_header_bytes = 16 * 1024;
+    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_connections = 4096;
+    /// Time within which a request arrives whole. Also bounds how long an
+    /// idle connection is kept.
+    runtime::duration read_timeout = std::chrono::seconds(30);
+};
+
+/// HTTP/1.1 server with keep-alive. Requests of one connection are answered
+/// in order. Must be owned by a shared pointer.
+class http_server : public std::enable_shared_from_this<http_server>
+{
+public:
+    using respond = std::function<void(http_response)>;
+    /// Handles one request; calls `respond` once, from any thread.
+    using handler = std::function<void(const http_request&, respond)>;
+
+    /// Listens on `where`; an error names the address.
+    [[nodiscard]] static runtime::result<std::shared_ptr<http_server>,
+                                         std::string>
+    create(boost::asio::any_io_executor executor, const endpoint& where,
+           http_server_limits limits, handler handle);
+
+    /// Starts to accept connections.
+    void start();
+
+    /// Stops accepting. Requests in flight are answered, with a note to the
+    /// caller that the connection closes.
+    void stop();
+
+    [[nodiscard]] std::size_t requests_in_flight() const
+    {
+        return in_flight_.load();
+    }
+    [[nodiscard]] std::uint16_t port() const;
+
+private:
+    http_server(boost::asio::any_io_executor executor,
+                boost::asio::ip::tcp::acceptor acceptor,
+                http_server_limits limits, handler handle);
+
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<http_response> handle(const http_request& request);
+
+    boost::asio::any_io_executor executor_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    const http_server_limits limits_;
+    const handler handle_;
+    std::atomic<bool> is_stopping_{false};
+    std::atomic<std::size_t> in_flight_{0};
+    std::atomic<std::size_t> connections_{0};
+};
+
+} // namespace tamarackhoist::transport
+
+#endif
--- /dev/null
+++ b/packages/transport/src/http_server.cpp
@@ -0,0 +1,201 @@
+#include <tamarackhoist/transport/http_server.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace tamarackhoist::transport
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+/// Delay before accepting again when the process is out of descriptors.
+constexpr auto accept_backoff = std::chrono::milliseconds(50);
+
+/// Returns the answer to a request that could not be read, if any.
+std::optional<http::status> status_of(beast::error_code error)
+{
+    if (error == http::error::header_limit) {
+        return http::status::request_header_fields_too_large;
+    }
+    if (error == http::error::body_limit) {
+        return http::status::payload_too_large;
+    }
+    if (error == http::error::end_of_stream ||
+        error == http::error::partial_message ||
+        error.category() !=
+            beast::error_code(http::error::bad_method).category()) {
+        return std::nullopt;
+    }
+    return http::status::bad_request;
+}
+
+} // namespace
+
+runtime::result<std::shared_ptr<http_server>, std::string>
+http_server::create(asio::any_io_executor executor, const endpoint& where,
+                    http_server_limits limits, handler handle)
+{
+    tcp::acceptor acceptor(executor);
+    const tcp::endpoint address(asio::ip::make_address(where.address),
+                                where.port);
+    boost::system::error_code error;
+    acceptor.open(address.protocol(), error);
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(address, error);
+    }
+    if (!error) {
+        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (error) {
+        return "cannot listen on " + where.to_text() + ": " + error.message();
+    }
+    return std::shared_ptr<http_server>(new http_server(
+        std::move(executor), std::move(acceptor), limits, std::move(handle)));
+}
+
+http_server::http_server(asio::any_io_executor executor, tcp::acceptor acceptor,
+                         http_server_limits limits, handler handle)
+    : executor_(std::move(executor)), acceptor_(std::move(acceptor)),
+      limits_(limits), handle_(std::move(handle))
+{
+}
+
+void http_server::start()
+{
+    auto self = shared_from_this();
+    asio::co_spawn(
+        executor_, [self] { return self->accept_loop(); }, asio::detached);
+}
+
+void http_server::stop()
+{
+    is_stopping_ = true;
+    auto self = shared_from_this();
+    asio::post(executor_, [self] {
+        boost::system::error_code ignored;
+        self->acceptor_.close(ignored);
+    });
+}
+
+std::uint16_t http_server::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
+asio::awaitable<void> http_server::accept_loop()
+{
+    while (!is_stopping_) {
+        auto [error, socket] = co_await acceptor_.async_accept(
+            asio::make_strand(executor_), use_tuple);
+        if (error && is_stopping_) {
+            break;
+        }
+        if (error) {
+            asio::steady_timer timer(executor_, accept_backoff);
+            co_await timer.async_wait(use_tuple);
+            continue;
+        }
+        if (connections_ >= limits_.max_connections) {
+            continue;
+        }
+        auto strand = socket.get_executor();
+        auto self = shared_from_this();
+        asio::co_spawn(
+            strand,
+            [self, moved = std::move(socket)]() mutable {
+                return self->serve(std::move(moved));
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> http_server::serve(tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    ++connections_;
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    bool is_open = true;
+    while (is_open) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(
+            static_cast<std::uint32_t>(limits_.max_header_bytes));
+        parser.body_limit(limits_.max_body_bytes);
+        stream.expires_after(limits_.read_timeout);
+        auto [error, size] =
+            co_await http::async_read(stream, buffer, parser, use_tuple);
+        if (error) {
+            const auto status = status_of(error);
+            if (!status) {
+                break;
+            }
+            auto refusal =
+                make_json(*status, R"({"outcome":"not_run","reason":")" +
+                                       error.message() + "\"}");
+            refusal.keep_alive(false);
+            refusal.prepare_payload();
+            co_await http::async_write(stream, refusal, use_tuple);
+            break;
+        }
+        const auto request = parser.release();
+        stream.expires_never();
+        ++in_flight_;
+        auto response = co_await handle(request);
+        is_open = request.keep_alive() && !is_stopping_;
+        response.keep_alive(is_open);
+        response.prepare_payload();
+        stream.expires_after(limits_.read_timeout);
+        auto [write_error, written] =
+            co_await http::async_write(stream, response, use_tuple);
+        --in_flight_;
+        if (write_error) {
+            break;
+        }
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    --connections_;
+}
+
+asio::awaitable<http_response> http_server::handle(const http_request& request)
+{
+    const auto start = [this, &request](auto completion) {
+        using completion_type = decltype(completion);
+        auto shared = std::make_shared<completion_type>(std::move(completion));
+        handle_(request, [shared](http_response response) {
+            auto executor = asio::get_associated_executor(*shared);
+            asio::post(executor,
+                       [shared, moved = std::move(response)]() mutable {
+                           std::move (*shared)(std::move(moved));
+                       });
+        });
+    };
+    co_return co_await asio::async_initiate<decltype(asio::use_awaitable),
+                                            void(http_response)>(
+        start, asio::use_awaitable);
+}
+
+} // namespace tamarackhoist::transport
--- /dev/null
+++ b/packages/upstreams/include/tamarackhoist/upstreams/upstream_client.hpp
@@ -0,0 +1,89 @@
+#ifndef TAMARACKHOIST_UPSTREAMS_UPSTREAM_CLIENT_HPP
+#define TAMARACKHOIST_UPSTREAMS_UPSTREAM_CLIENT_HPP
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <tamarackhoist/policy/sub_request.hpp>
+#include <tamarackhoist/policy/upstream_owner.hpp>
+#include <tamarackhoist/runtime/clock.hpp>
+#include <tamarackhoist/transport/http_connection.hpp>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackhoist::upstreams
+{
+
+/// Connections of one owner to one upstream. They are opened before they are
+/// needed, since a new connection costs more than a request. Runs on one
+/// strand; must be owned by a shared pointer.
+class upstream_client : public std::enable_shared_from_this<upstream_client>
+{
+public:
+    using report_handler =
+        std::function<void(policy::request_id, policy::upstream_report)>;
+    /// Receives the versions and the drain of a health reply.
+    using health_handler = std::function<void(policy::upstream_report)>;
+
+    [[nodiscard]] static std::shared_ptr<upstream_client>
+    create(boost::asio::any_io_executor strand, runtime::clock time,
+           policy::upstream description, std::uint32_t max_connections,
+           report_handler on_report, health_handler on_health);
+
+    /// Opens the connections and starts to read the health endpoint.
+    void start();
+
+    /// Sends a request, as soon as a connection is free.
+    void dispatch(const policy::sub_request& request);
+
+    /// Closes the connection of a dispatched request, which tells the
+    /// upstream to stop working on it.
+    void abort(policy::request_id id);
+
+    /// Closes every idle connection and opens no more. Requests in flight
+    /// end as usual.
+    void stop();
+
+    [[nodiscard]] std::size_t open_connections() const
+    {
+        return connection_count_;
+    }
+
+private:
+    using connection_pointer = std::shared_ptr<transport::http_connection>;
+
+    upstream_client(boost::asio::any_io_executor strand, runtime::clock time,
+                    policy::upstream description, std::uint32_t max_connections,
+                    report_handler on_report, health_handler on_health);
+
+    void open_connections_ahead();
+    void open_connection();
+    void on_connected(const connection_pointer& connection, bool is_connected);
+    void release(const connection_pointer& connection);
+    void drop(const connection_pointer& connection);
+    void assign();
+    void send(policy::sub_request request, connection_pointer connection);
+    void schedule_health();
+    void read_health();
+
+    boost::asio::any_io_executor strand_;
+    const runtime::clock time_;
+    const policy::upstream description_;
+    const std::uint32_t max_connections_;
+    const report_handler on_report_;
+    const health_handler on_health_;
+    boost::asio::steady_timer health_timer_;
+    std::deque<policy::sub_request> waiting_;
+    std::vector<connection_pointer> idle_;
+    std::unordered_map<policy::request_id, connection_pointer> busy_;
+    std::uint32_t connection_count_ = 0;
+    std::uint32_t connecting_ = 0;
+    bool is_stopped_ = false;
+};
+
+} // namespace tamarackhoist::upstreams
+
+#endif
--- /dev/null
+++ b/packages/upstreams/src/upstream_client.cpp
@@ -0,0 +1,250 @@
+#include <tamarackhoist/upstreams/upstream_client.hpp>
+
+#include <algorithm>
+#include <tamarackhoist/runtime/event.hpp>
+#include <tamarackhoist/upstreams/upstream_wire.hpp>
+#include <utility>
+
+namespace tamarackhoist::upstreams
+{
+
+using policy::upstream_outcome;
+
+namespace
+{
+
+constexpr runtime::duration connect_timeout = std::chrono::milliseconds(250);
+constexpr runtime::duration health_interval = std::chrono::seconds(1);
+constexpr runtime::duration health_timeout = std::chrono::milliseconds(500);
+/// Time beyond its deadline for which the reply of a non-idempotent request
+/// is awaited, since it settles whether the request ran.
+constexpr runtime::duration order_patience = std::chrono::seconds(10);
+constexpr runtime::duration min_timeout = std::chrono::milliseconds(1);
+
+} // namespace
+
+std::shared_ptr<upstream_client>
+upstream_client::create(boost::asio::any_io_executor strand,
+                        runtime::clock time, policy::upstream description,
+                        std::uint32_t max_connections, report_handler on_report,
+                        health_handler on_health)
+{
+    return std::shared_ptr<upstream_client>(new upstream_client(
+        std::move(strand), std::move(time), std::move(description),
+        max_connections, std::move(on_report), std::move(on_health)));
+}
+
+upstream_client::upstream_client(boost::asio::any_io_executor strand,
+                                 runtime::clock time,
+                                 policy::upstream description,
+                                 std::uint32_t max_connections,
+                                 report_handler on_report,
+                                 health_handler on_health)
+    : strand_(strand), time_(std::move(time)),
+      description_(std::move(description)), max_connections_(max_connections),
+      on_report_(std::move(on_report)), on_health_(std::move(on_health)),
+      health_timer_(std::move(strand))
+{
+}
+
+void upstream_client::start()
+{
+    open_connections_ahead();
+    read_health();
+}
+
+void upstream_client::open_connections_ahead()
+{
+    while (!is_stopped_ && connection_count_ < max_connections_) {
+        open_connection();
+    }
+}
+
+void upstream_client::open_connection()
+{
+    ++connection_count_;
+    ++connecting_;
+    auto connection = transport::http_connection::create(strand_);
+    auto self = shared_from_this();
+    connection->connect({description_.address, description_.port},
+                        connect_timeout, [self, connection](bool is_connected) {
+                            self->on_connected(connection, is_connected);
+                        });
+}
+
+void upstream_client::on_connected(const connection_pointer& connection,
+                                   bool is_connected)
+{
+    --connecting_;
+    if (is_connected) {
+        open_connections_ahead();
+        release(connection);
+        return;
+    }
+    --connection_count_;
+    // Requests wait only as long as some connection may still serve them.
+    if (connecting_ > 0 || !idle_.empty() || !busy_.empty()) {
+        return;
+    }
+    auto failed = std::exchange(waiting_, {});
+    for (const auto& request : failed) {
+        policy::upstream_report report;
+        report.outcome = upstream_outcome::not_connected;
+        on_report_(request.id, std::move(report));
+    }
+}
+
+void upstream_client::release(const connection_pointer& connection)
+{
+    if (!connection->is_open() || (is_stopped_ && waiting_.empty())) {
+        drop(connection);
+        return;
+    }
+    idle_.push_back(connection);
+    auto self = shared_from_this();
+    connection->watch_idle([self, connection] {
+        const auto found = std::ranges::find(self->idle_, connection);
+        if (found == self->idle_.end()) {
+            return;
+        }
+        self->idle_.erase(found);
+        --self->connection_count_;
+    });
+    assign();
+}
+
+void upstream_client::drop(const connection_pointer& connection)
+{
+    connection->close();
+    --connection_count_;
+    if (!waiting_.empty()) {
+        open_connections_ahead();
+    }
+}
+
+void upstream_client::dispatch(const policy::sub_request& request)
+{
+    waiting_.push_back(request);
+    assign();
+    if (!waiting_.empty()) {
+        open_connections_ahead();
+    }
+}
+
+void upstream_client::assign()
+{
+    while (!waiting_.empty() && !idle_.empty()) {
+        auto connection = std::move(idle_.back());
+        idle_.pop_back();
+        if (!connection->is_open()) {
+            --connection_count_;
+            continue;
+        }
+        auto request = std::move(waiting_.front());
+        waiting_.pop_front();
+        send(std::move(request), std::move(connection));
+    }
+}
+
+void upstream_client::send(policy::sub_request request,
+                           connection_pointer connection)
+{
+    const auto id = request.id;
+    // The deadline is looked at again right before the write: the process
+    // may have been paused since the request was dispatched.
+    const auto remaining = request.deadline - time_.now();
+    if (remaining < min_timeout) {
+        policy::upstream_report report;
+        report.outcome = upstream_outcome::shed;
+        idle_.push_back(std::move(connection));
+        on_report_(id, std::move(report));
+        return;
+    }
+    const auto timeout =
+        request.is_idempotent ? remaining : remaining + order_patience;
+    busy_[id] = connection;
+    auto encoded = encode_request(request, remaining);
+    auto self = shared_from_this();
+    connection->exchange(
+        std::move(encoded), timeout,
+        [self, id, connection, request = std::move(request)](
+            const transport::exchange_result& result) {
+            self->busy_.erase(id);
+            policy::upstream_report report;
+            if (result.status == transport::exchange_status::answered) {
+                report = decode_reply(request, result.response);
+            } else if (result.status == transport::exchange_status::not_sent) {
+                report.outcome = upstream_outcome::not_connected;
+            }
+            self->release(connection);
+            self->on_report_(id, std::move(report));
+        });
+}
+
+void upstream_client::abort(policy::request_id id)
+{
+    const auto waiting =
+        std::ranges::find(waiting_, id, &policy::sub_request::id);
+    if (waiting != waiting_.end()) {
+        waiting_.erase(waiting);
+        policy::upstream_report report;
+        report.outcome = upstream_outcome::abandoned;
+        on_report_(id, std::move(report));
+        return;
+    }
+    const auto found = busy_.find(id);
+    if (found != busy_.end()) {
+        found->second->close();
+    }
+}
+
+void upstream_client::stop()
+{
+    is_stopped_ = true;
+    health_timer_.cancel();
+    for (const auto& connection : std::exchange(idle_, {})) {
+        drop(connection);
+    }
+}
+
+void upstream_client::schedule_health()
+{
+    if (is_stopped_) {
+        return;
+    }
+    health_timer_.expires_after(health_interval);
+    auto self = shared_from_this();
+    health_timer_.async_wait([self](boost::system::error_code error) {
+        if (error || self->is_stopped_) {
+            return;
+        }
+        self->read_health();
+    });
+}
+
+void upstream_client::read_health()
+{
+    if (idle_.empty()) {
+        // Every connection is busy or lost. Busy ones bring the same news
+        // with their replies; a lost upstream is tried again.
+        if (connection_count_ == 0) {
+            open_connection();
+        }
+        schedule_health();
+        return;
+    }
+    auto connection = std::move(idle_.back());
+    idle_.pop_back();
+    auto self = shared_from_this();
+    connection->exchange(
+        encode_health_request(), health_timeout,
+        [self, connection](const transport::exchange_result& result) {
+            self->release(connection);
+            if (result.status == transport::exchange_status::answered) {
+                self->on_health_(decode_reply({}, result.response));
+            }
+            self->schedule_health();
+        });
+}
+
+} // namespace tamarackhoist::upstreams
