--- a/packages/node/src/owner_lane.cpp
+++ b/packages/node/src/owner_lane.cpp
@@ -172,12 +172,11 @@
     const auto now = time_.now();
     guard_.observe(now);
     auto* each = find(request.target);
-    if (each == nullptr || each->is_released) {
-        reply(make_refusal(request, policy::refusal::not_owner));
-        return;
-    }
-    if (!request.is_idempotent && !guard_.is_trusted(now)) {
-        reply(make_refusal(request, policy::refusal::node_resumed));
+    const bool is_owner = each != nullptr && !each->is_released;
+    const auto reason =
+        policy::check_ownership(request, is_owner, guard_, now);
+    if (reason != policy::refusal::none) {
+        reply(make_refusal(request, reason));
         return;
     }
     const auto target = request.target;
--- a/packages/peers/src/peer_codec.cpp
+++ b/packages/peers/src/peer_codec.cpp
@@ -60,6 +60,7 @@
         encoded->set_version(each.version);
         encoded->set_is_idempotent(each.is_idempotent);
         encoded->set_is_hedge(each.is_hedge);
+        encoded->set_may_redirect(each.may_redirect);
         if (each.body.get() != shared && each.body) {
             encoded->set_body(*each.body);
         }
@@ -89,6 +90,7 @@
         request.version = each.version();
         request.is_idempotent = each.is_idempotent();
         request.is_hedge = each.is_hedge();
+        request.may_redirect = each.may_redirect();
         request.body = each.body().empty()
                            ? shared
                            : std::make_shared<const std::string>(each.body());
--- a/packages/policy/include/tamarackhoist/policy/query_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/query_coordinator.hpp
@@ -58,7 +58,8 @@
         std::uint32_t sent_attempts = 0;
         std::uint32_t refusals = 0;
         bool is_settled = false;
-        bool is_hedged = false;
+        bool is_given_up = false;
+        std::uint32_t hedges = 0;
         std::optional<runtime::time_point> hedge_at;
         std::optional<runtime::time_point> retry_at;
         missing_reason reason = missing_reason::deadline;
@@ -88,6 +89,8 @@
     void on_version_unavailable(std::size_t position, const sub_reply& reply,
                                 runtime::time_point now);
     void restart_with(index_version version, runtime::time_point now);
+    void rearm_hedge(piece& each, upstream_id refused_by,
+                     runtime::time_point now);
     void on_not_run(std::size_t position, const sub_reply& reply,
                     runtime::time_point now);
     void drop_attempts_of(std::size_t position, runtime::time_point now);
--- a/packages/policy/include/tamarackhoist/policy/sub_request.hpp
+++ b/packages/policy/include/tamarackhoist/policy/sub_request.hpp
@@ -27,6 +27,9 @@
     index_version version = 0;
     bool is_idempotent = true;
     bool is_hedge = false;
+    /// Asks the owner to refuse at once instead of queueing, since another
+    /// replica may have a free slot.
+    bool may_redirect = false;
     std::shared_ptr<const std::string> body;
 };
 
--- a/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
@@ -6,6 +6,7 @@
 #include <span>
 #include <tamarackhoist/policy/concurrency_limit.hpp>
 #include <tamarackhoist/policy/latency_window.hpp>
+#include <tamarackhoist/policy/pause_guard.hpp>
 #include <tamarackhoist/policy/sub_request.hpp>
 #include <tamarackhoist/policy/work_queue.hpp>
 #include <unordered_map>
@@ -35,6 +36,17 @@
     bool is_draining = false;
 };
 
+/// Returns whether a dispatched request may still be written. Looked at
+/// right before the write, since the process may have been paused since.
+[[nodiscard]] bool is_worth_sending(const sub_request& request,
+                                    runtime::time_point now);
+
+/// Returns why a node refuses to take a request as the owner of its target,
+/// or `refusal::none`.
+[[nodiscard]] refusal check_ownership(const sub_request& request,
+                                      bool is_owner, const pause_guard& guard,
+                                      runtime::time_point now);
+
 /// Decides, for one upstream that this node owns, what is sent to it and
 /// when. Free of I/O; not thread-safe.
 class upstream_owner
--- a/packages/policy/include/tamarackhoist/policy/work_queue.hpp
+++ b/packages/policy/include/tamarackhoist/policy/work_queue.hpp
@@ -22,8 +22,9 @@
 class work_queue
 {
 public:
-    /// Queued requests of all classes beyond which new ones are refused.
-    static constexpr std::size_t max_length = 2048;
+    /// Queued requests of one class beyond which new ones are refused. The
+    /// bound is per class, so that a flood of one leaves room for the others.
+    static constexpr std::size_t max_class_length = 512;
 
     /// Part of the class deadline that a request waits before its class may
     /// claim its guaranteed share.
@@ -43,8 +44,7 @@
     };
 
     /// Removes and returns the request to start next, or nothing when no
-    /// class up to `least_urgent_allowed` has one. A class that claims its
-    /// guaranteed share is exempt from that bound.
+    /// class up to `least_urgent_allowed` has one.
     [[nodiscard]] std::optional<waiting>
     pop(runtime::time_point now, class_index least_urgent_allowed,
         runtime::duration expected_service);
--- a/packages/policy/src/query_coordinator.cpp
+++ b/packages/policy/src/query_coordinator.cpp
@@ -14,6 +14,9 @@
 constexpr runtime::duration return_margin = std::chrono::milliseconds(3);
 constexpr runtime::duration first_backoff = std::chrono::milliseconds(5);
 constexpr runtime::duration max_backoff = std::chrono::milliseconds(80);
+/// Hedges of one shard, counting those that a busy replica refused.
+constexpr std::uint32_t max_hedges = 6;
+constexpr runtime::duration hedge_retry_delay = std::chrono::milliseconds(5);
 constexpr std::uint32_t max_restarts = 4;
 /// Refusals of one shard, none of which reached an upstream, after which no
 /// further replica is asked.
@@ -187,7 +190,7 @@
         const bool may_hedge =
             rank_description().may_hedge && each.replicas.size() > 1;
         each.hedge_at.reset();
-        if (may_hedge && !each.is_hedged) {
+        if (may_hedge && each.hedges < max_hedges) {
             each.hedge_at =
                 now + context_.hedge_delay(wanted_.index, wanted_.rank);
         }
@@ -203,6 +206,8 @@
     request.range = each.range;
     request.version = version_;
     request.is_hedge = is_hedge;
+    request.may_redirect = kind == attempt_kind::first && wanted_.rank == 0 &&
+                           each.refusals == 0 && each.replicas.size() > 1;
     request.body = body_;
     return request;
 }
@@ -253,6 +258,7 @@
             budgets.hedges.give_back();
             budgets.extras.give_back();
             --extra_;
+            rearm_hedge(each, ended.target, now);
         }
         on_not_run(ended.piece_position, reply, now);
         break;
@@ -354,6 +360,19 @@
     send_unsent(now);
 }
 
+void query_coordinator::rearm_hedge(piece& each, upstream_id refused_by,
+                                    runtime::time_point now)
+{
+    // A replica that was busy a moment ago may have a free slot later, while
+    // the first attempt still waits.
+    const bool is_waiting = !each.is_settled && each.live_attempts > 0;
+    if (!is_waiting || each.hedges >= max_hedges) {
+        return;
+    }
+    std::erase(each.tried, refused_by);
+    each.hedge_at = now + hedge_retry_delay;
+}
+
 void query_coordinator::on_not_run(std::size_t position, const sub_reply& reply,
                                    runtime::time_point now)
 {
@@ -364,14 +383,18 @@
     if (each.is_settled || each.live_attempts > 0) {
         return;
     }
-    if (reply.reason == refusal::no_time ||
-        reply.reason == refusal::queue_full) {
-        is_congested_ = true;
-    }
+    const bool is_overload = reply.reason == refusal::no_time ||
+                             reply.reason == refusal::queue_full;
+    is_congested_ = is_congested_ || is_overload;
     if (each.refusals > max_refusals) {
         return;
     }
     auto next = make_attempt(position, attempt_kind::first, now);
+    if (!next && is_overload) {
+        // Every replica lacks the time now, and there will be less later.
+        each.is_given_up = true;
+        return;
+    }
     if (!next) {
         wait_and_retry(each, now);
         return;
@@ -447,7 +470,7 @@
             continue;
         }
         each.hedge_at.reset();
-        each.is_hedged = true;
+        ++each.hedges;
         auto& budgets = context_.budgets(wanted_.rank);
         if (!budgets.hedges.try_withdraw()) {
             continue;
@@ -525,10 +548,14 @@
     if (is_complete_) {
         return;
     }
-    const bool is_done = std::ranges::all_of(pieces_, [](const piece& each) {
+    const auto is_over = [](const piece& each) {
         return each.is_settled || (each.live_attempts == 0 && !each.retry_at);
-    });
-    if (!is_done) {
+    };
+    // Where only a whole answer counts, one shard that cannot be answered
+    // ends the query, so that the others do no more work for it.
+    const bool is_lost = !rank_description().allows_partial &&
+                         std::ranges::any_of(pieces_, &piece::is_given_up);
+    if (!is_lost && !std::ranges::all_of(pieces_, is_over)) {
         return;
     }
     finish(make_answer(), now);
--- a/packages/policy/src/upstream_owner.cpp
+++ b/packages/policy/src/upstream_owner.cpp
@@ -18,9 +18,28 @@
 constexpr int smoothing = 8;
 /// Time after an urgent request for which a slot is held free for the next.
 constexpr runtime::duration reservation_time = std::chrono::seconds(1);
+/// Time to its deadline below which a request is not written any more.
+constexpr runtime::duration min_sending_time = std::chrono::milliseconds(1);
 
 } // namespace
 
+bool is_worth_sending(const sub_request& request, runtime::time_point now)
+{
+    return request.deadline - now >= min_sending_time;
+}
+
+refusal check_ownership(const sub_request& request, bool is_owner,
+                        const pause_guard& guard, runtime::time_point now)
+{
+    if (!is_owner) {
+        return refusal::not_owner;
+    }
+    if (!request.is_idempotent && !guard.is_trusted(now)) {
+        return refusal::node_resumed;
+    }
+    return refusal::none;
+}
+
 upstream_owner::upstream_owner(upstream description,
                                std::span<const priority_class> classes,
                                hooks actions)
@@ -80,11 +99,17 @@
         refuse(request, refusal::busy, {});
         return;
     }
-    if (queue_.size() >= work_queue::max_length) {
+    const bool would_wait = running_.size() >= limit_.allowed() ||
+                            queue_.length_ahead(request.rank) > 0;
+    if (request.may_redirect && would_wait) {
+        refuse(request, refusal::busy, {});
+        return;
+    }
+    if (queue_.size_of(request.rank) >= work_queue::max_class_length) {
         refuse(request, refusal::queue_full, {});
         return;
     }
-    if (request.deadline < now + expected_service()) {
+    if (request.deadline <= now + expected_service()) {
         refuse(request, refusal::no_time, {});
         return;
     }
--- a/packages/policy/src/work_queue.cpp
+++ b/packages/policy/src/work_queue.cpp
@@ -64,8 +64,10 @@
 work_queue::pop(runtime::time_point now, class_index least_urgent_allowed,
                 runtime::duration expected_service)
 {
-    for (auto& each : lanes_) {
-        if (claims_share(each, now, expected_service)) {
+    for (class_index rank = 0; rank < lanes_.size(); ++rank) {
+        auto& each = lanes_[rank];
+        if (rank <= least_urgent_allowed &&
+            claims_share(each, now, expected_service)) {
             return take(each, each.requests.begin());
         }
     }
@@ -109,7 +111,7 @@
     for (auto& each : lanes_) {
         while (!each.requests.empty()) {
             const auto first = each.requests.begin();
-            if (first->first.deadline >= now + expected_service) {
+            if (first->first.deadline > now + expected_service) {
                 break;
             }
             expired.push_back(take(each, first));
--- a/packages/upstreams/src/upstream_client.cpp
+++ b/packages/upstreams/src/upstream_client.cpp
@@ -19,7 +19,6 @@
 /// Time beyond its deadline for which the reply of a non-idempotent request
 /// is awaited, since it settles whether the request ran.
 constexpr runtime::duration order_patience = std::chrono::seconds(10);
-constexpr runtime::duration min_timeout = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -152,8 +151,9 @@
     const auto id = request.id;
     // The deadline is looked at again right before the write: the process
     // may have been paused since the request was dispatched.
-    const auto remaining = request.deadline - time_.now();
-    if (remaining < min_timeout) {
+    const auto now = time_.now();
+    const auto remaining = request.deadline - now;
+    if (!policy::is_worth_sending(request, now)) {
         policy::upstream_report report;
         report.outcome = upstream_outcome::shed;
         idle_.push_back(std::move(connection));
