policy: Redirect, pace and doubt so that one slow replica costs little

Cause: urgent requests queued behind a busy replica while the other was idle; a hedge could replace a due retry; lost races made healthy replicas suspect; a class that had used idle capacity owed it back for seconds; admission learned of congestion only when queries ended. Change: an owner asks for another replica once instead of queueing urgent work; hedges accompany a live attempt; replicas that lose races twice are avoided for 4 s; debt is at most 20 ms; congestion is told at the first reply.

--- a/packages/policy/include/tamarackhoist/policy/admission_control.hpp
+++ b/packages/policy/include/tamarackhoist/policy/admission_control.hpp
@@ -22,11 +22,13 @@
     /// Returns whether a query may start at `now`.
     [[nodiscard]] bool try_admit(runtime::time_point now);
 
-    /// Records the end of an admitted query. A query is congested when one
-    /// of its requests waited longer than the class allows or was refused
-    /// for lack of time.
-    void on_finished(bool is_congested, bool is_complete,
-                     runtime::time_point now);
+    /// Records that an admitted query met congestion: an owner published a
+    /// longer queue than the class allows, or refused for lack of time.
+    /// Called at most once per query, as soon as that is known.
+    void on_congestion(runtime::time_point now);
+
+    /// Records the end of an admitted query.
+    void on_finished(bool has_results, runtime::time_point now);
 
     /// Returns the admitted queries per second, or nothing when unlimited.
     [[nodiscard]] std::optional<double> limit() const;
@@ -37,7 +39,7 @@
         std::uint32_t admitted = 0;
         std::uint32_t finished = 0;
         std::uint32_t congested = 0;
-        std::uint32_t complete = 0;
+        std::uint32_t answered = 0;
     };
 
     void close_interval(runtime::time_point now);
@@ -48,7 +50,7 @@
     runtime::time_point refilled_at_;
     std::optional<double> limit_;
     double tokens_ = 0;
-    double complete_rate_ = 0;
+    double answered_rate_ = 0;
 };
 
 } // namespace tamarackhoist::policy
--- a/packages/policy/include/tamarackhoist/policy/entry_context.hpp
+++ b/packages/policy/include/tamarackhoist/policy/entry_context.hpp
@@ -56,6 +56,7 @@
     struct index_state {
         /// Latency that few attempts exceed without a fault.
         latency_window latency{0.97, std::chrono::seconds(2)};
+        latency_window median_latency{0.5, std::chrono::seconds(2)};
         admission_control admission;
     };
 
--- a/packages/policy/include/tamarackhoist/policy/query_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/query_coordinator.hpp
@@ -54,9 +54,13 @@
         key_range range;
         std::vector<upstream_id> replicas;
         std::vector<upstream_id> tried;
+        /// Replica that just asked to be tried elsewhere first.
+        std::optional<upstream_id> busy;
         std::uint32_t live_attempts = 0;
         std::uint32_t sent_attempts = 0;
         std::uint32_t refusals = 0;
+        /// Refusals for lack of time since the replicas were last tried anew.
+        std::uint32_t overloads = 0;
         bool is_settled = false;
         bool is_given_up = false;
         std::uint32_t hedges = 0;
@@ -84,6 +88,7 @@
                  runtime::time_point now);
     void try_again(std::size_t position, runtime::time_point now);
     void wait_and_retry(piece& each, runtime::time_point now);
+    void note_congestion(const sub_reply& reply, runtime::time_point now);
     void accept(std::size_t position, const sub_reply& reply);
     void replan_rest(std::size_t position, runtime::time_point now);
     void on_version_unavailable(std::size_t position, const sub_reply& reply,
--- a/packages/policy/include/tamarackhoist/policy/replica_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/replica_directory.hpp
@@ -55,6 +55,9 @@
         std::span<const upstream_id> replicas;
         /// Upstreams that were tried already.
         std::span<const upstream_id> excluded;
+        /// Replica that was busy a moment ago; it is chosen only where the
+        /// others cost much more.
+        std::optional<upstream_id> busy;
         index_version version = 0;
         class_index rank = 0;
         runtime::time_point now;
@@ -84,6 +87,7 @@
         std::atomic<std::int32_t> outstanding{0};
         std::atomic<std::uint32_t> slots{1};
         std::atomic<std::uint32_t> failures{0};
+        std::atomic<std::uint32_t> lost_races{0};
         std::atomic<index_version> version_low{0};
         std::atomic<index_version> version_high{0};
         std::atomic<bool> is_draining{false};
--- a/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
@@ -124,6 +124,14 @@
         bool is_abandoned = false;
     };
 
+    /// How fast the requests of one class are started.
+    struct class_pace {
+        runtime::time_point started_at;
+        /// Smoothed time from one start to the next while others wait.
+        runtime::duration interval{};
+    };
+
+    void note_pace(const work_queue::waiting& next, runtime::time_point now);
     void answer(const sub_request& request, sub_reply reply);
     void refuse(const sub_request& request, refusal reason,
                 runtime::duration waited);
@@ -142,6 +150,7 @@
     concurrency_limit limit_;
     latency_window service_median_;
     runtime::duration service_average_{};
+    std::vector<class_pace> paces_;
     std::unordered_map<request_id, running> running_;
     std::size_t running_urgent_ = 0;
     std::optional<runtime::time_point> urgent_seen_at_;
--- a/packages/policy/include/tamarackhoist/policy/work_queue.hpp
+++ b/packages/policy/include/tamarackhoist/policy/work_queue.hpp
@@ -28,7 +28,7 @@
 
     /// Part of the class deadline that a request waits before its class may
     /// claim its guaranteed share.
-    static constexpr double starvation_fraction = 0.2;
+    static constexpr double starvation_fraction = 0.1;
 
     explicit work_queue(std::span<const priority_class> classes);
 
--- a/packages/policy/src/admission_control.cpp
+++ b/packages/policy/src/admission_control.cpp
@@ -21,7 +21,7 @@
 constexpr double burst_seconds = 0.05;
 /// The limit is lifted when the offered rate falls below this part of it.
 constexpr double idle_fraction = 0.7;
-/// Weight of the newest interval in the smoothed rate of complete answers.
+/// Weight of the newest interval in the smoothed rate of answers.
 constexpr double smoothing = 0.3;
 
 } // namespace
@@ -45,14 +45,19 @@
     return true;
 }
 
-void admission_control::on_finished(bool is_congested, bool is_complete,
-                                    runtime::time_point now)
+void admission_control::on_congestion(runtime::time_point now)
+{
+    const std::lock_guard guard(mutex_);
+    close_interval(now);
+    ++counts_.congested;
+}
+
+void admission_control::on_finished(bool has_results, runtime::time_point now)
 {
     const std::lock_guard guard(mutex_);
     close_interval(now);
     ++counts_.finished;
-    counts_.congested += is_congested ? 1 : 0;
-    counts_.complete += is_complete ? 1 : 0;
+    counts_.answered += has_results ? 1 : 0;
 }
 
 void admission_control::close_interval(runtime::time_point now)
@@ -65,14 +70,14 @@
     const auto closed = counts_;
     counts_ = {};
     interval_start_ = now;
-    complete_rate_ += smoothing * (closed.complete / seconds - complete_rate_);
+    answered_rate_ += smoothing * (closed.answered / seconds - answered_rate_);
     const bool is_congested =
         closed.congested > tolerated_congestion * closed.finished;
     const auto offered_rate = closed.offered / seconds;
     if (is_congested) {
         const auto current = limit_.value_or(closed.admitted / seconds);
         const auto wanted =
-            std::clamp(complete_rate_ * smallest_decrease,
+            std::clamp(answered_rate_ * smallest_decrease,
                        current * largest_decrease, current * smallest_decrease);
         if (!limit_) {
             tokens_ = 0;
--- a/packages/policy/src/entry_context.cpp
+++ b/packages/policy/src/entry_context.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Multiple of the median latency after which an attempt is hedged at the
+/// latest.
+constexpr int max_median_multiple = 3;
 constexpr runtime::duration min_hedge_delay = std::chrono::milliseconds(2);
 /// Delay until latencies are known: long enough that a hedge is an answer to
 /// a fault rather than to a cold start.
@@ -46,9 +49,10 @@
     std::span<const runtime::duration> latencies, runtime::time_point now)
 {
     const std::lock_guard guard(mutex_);
-    auto& latency = state_of(index, rank).latency;
+    auto& state = state_of(index, rank);
     for (const auto each : latencies) {
-        latency.add(each, now);
+        state.latency.add(each, now);
+        state.median_latency.add(each, now);
     }
 }
 
@@ -56,8 +60,16 @@
                                              class_index rank)
 {
     const std::lock_guard guard(mutex_);
-    const auto known = state_of(index, rank).latency.quantile();
-    return std::max(min_hedge_delay, known.value_or(initial_hedge_delay));
+    const auto& state = state_of(index, rank);
+    const auto tail = state.latency.quantile();
+    const auto median = state.median_latency.quantile();
+    if (!tail || !median) {
+        return initial_hedge_delay;
+    }
+    // While a replica is slow, its answers raise the tail, but not the
+    // median; without the second bound, hedges would wait for the slow one.
+    return std::max(min_hedge_delay,
+                    std::min(*tail, max_median_multiple * *median));
 }
 
 } // namespace tamarackhoist::policy
--- a/packages/policy/src/order_coordinator.cpp
+++ b/packages/policy/src/order_coordinator.cpp
@@ -51,7 +51,7 @@
         return;
     }
     const auto target = context_.directory().choose(
-        {replicas_, tried_, 0, wanted_.rank, now}, random_);
+        {replicas_, tried_, std::nullopt, 0, wanted_.rank, now}, random_);
     if (!target) {
         tried_.clear();
         retry_at_ = now + backoff;
--- a/packages/policy/src/query_coordinator.cpp
+++ b/packages/policy/src/query_coordinator.cpp
@@ -169,7 +169,9 @@
 {
     auto& each = pieces_[position];
     const auto target = context_.directory().choose(
-        {each.replicas, each.tried, version_, wanted_.rank, now}, random_);
+        {each.replicas, each.tried, each.busy, version_, wanted_.rank, now},
+        random_);
+    each.busy.reset();
     if (!target) {
         return std::nullopt;
     }
@@ -225,11 +227,7 @@
     context_.directory().on_reply(reply, now);
     auto& each = pieces_[ended.piece_position];
     --each.live_attempts;
-    const auto allowed_wait =
-        congested_fraction * runtime::to_seconds(rank_description().deadline);
-    if (runtime::to_seconds(reply.waited) > allowed_wait) {
-        is_congested_ = true;
-    }
+    note_congestion(reply, now);
     if (reply.outcome != sub_outcome::not_run) {
         may_have_run_ = true;
     }
@@ -264,7 +262,6 @@
         break;
     case sub_outcome::shed:
         each.reason = missing_reason::overloaded;
-        is_congested_ = true;
         try_again(ended.piece_position, now);
         break;
     case sub_outcome::failed:
@@ -275,6 +272,25 @@
     finish_if_done(now);
 }
 
+void query_coordinator::note_congestion(const sub_reply& reply,
+                                        runtime::time_point now)
+{
+    if (is_congested_) {
+        return;
+    }
+    const auto allowed_wait = runtime::from_seconds(
+        congested_fraction *
+        runtime::to_seconds(rank_description().deadline));
+    is_congested_ = reply.load.queue_delay > allowed_wait ||
+                    reply.outcome == sub_outcome::shed ||
+                    reply.reason == refusal::no_time ||
+                    reply.reason == refusal::queue_full;
+    if (is_congested_) {
+        // Told at once: by the time the query ends, many more have started.
+        context_.admission(wanted_.index, wanted_.rank).on_congestion(now);
+    }
+}
+
 void query_coordinator::accept(std::size_t position, const sub_reply& reply)
 {
     auto& each = pieces_[position];
@@ -385,12 +401,18 @@
     }
     const bool is_overload = reply.reason == refusal::no_time ||
                              reply.reason == refusal::queue_full;
-    is_congested_ = is_congested_ || is_overload;
+    each.overloads += is_overload ? 1 : 0;
     if (each.refusals > max_refusals) {
         return;
     }
+    if (reply.reason == refusal::busy) {
+        // The busy replica stays a candidate: its queue may still be better
+        // than another replica that is slow.
+        std::erase(each.tried, reply.source);
+        each.busy = reply.source;
+    }
     auto next = make_attempt(position, attempt_kind::first, now);
-    if (!next && is_overload) {
+    if (!next && each.overloads >= each.replicas.size()) {
         // Every replica lacks the time now, and there will be less later.
         each.is_given_up = true;
         return;
@@ -429,6 +451,7 @@
         return;
     }
     each.tried.clear();
+    each.overloads = 0;
     each.retry_at = now + backoff_after(each.refusals);
 }
 
@@ -466,7 +489,10 @@
             batch.push_back(std::move(*next));
             continue;
         }
-        if (!each.hedge_at || *each.hedge_at > now) {
+        // A hedge accompanies an attempt; without one, the piece is tried
+        // again as usual.
+        if (!each.hedge_at || *each.hedge_at > now ||
+            each.live_attempts == 0) {
             continue;
         }
         each.hedge_at.reset();
@@ -503,7 +529,7 @@
         if (each.is_settled) {
             continue;
         }
-        if (each.hedge_at) {
+        if (each.hedge_at && each.live_attempts > 0) {
             earliest = std::min(earliest, *each.hedge_at);
         }
         if (each.retry_at) {
@@ -606,10 +632,10 @@
 {
     is_complete_ = true;
     if (is_admitted_) {
-        const bool has_all = answer.status == query_status::complete;
-        const bool is_late = now >= wanted_.deadline;
+        const bool has_results = answer.status == query_status::complete ||
+                                 answer.status == query_status::partial;
         context_.admission(wanted_.index, wanted_.rank)
-            .on_finished(is_congested_ || (is_late && !has_all), has_all, now);
+            .on_finished(has_results, now);
         context_.record_latencies(wanted_.index, wanted_.rank, latencies_, now);
     }
     for (std::size_t position = 0; position < pieces_.size(); ++position) {
--- a/packages/policy/src/replica_directory.cpp
+++ b/packages/policy/src/replica_directory.cpp
@@ -18,6 +18,8 @@
 /// Steepness of the preference for the cheaper replica: a replica that costs
 /// twice as much is chosen a sixteenth as often.
 constexpr double preference_exponent = 4;
+/// Factor on the cost of a replica that was busy a moment ago.
+constexpr double busy_penalty = 2;
 /// Failures without a success after which a replica is avoided.
 constexpr std::uint32_t suspect_failures = 3;
 /// Time after which one request is tried at a suspect replica again.
@@ -33,6 +35,13 @@
     return std::min(rank, replica_directory::max_classes - 1);
 }
 
+/// Lost races without an answer between them after which a replica is
+/// avoided, and for how long.
+constexpr std::uint32_t slow_races = 2;
+constexpr runtime::duration slow_time = std::chrono::seconds(4);
+/// Multiple of its known service time beyond which a lost race counts.
+constexpr std::int64_t slow_multiple = 2;
+
 } // namespace
 
 replica_directory::replica_directory()
@@ -99,6 +108,7 @@
     }
     if (reply.outcome == sub_outcome::answered) {
         each->failures.store(0, relaxed);
+        each->lost_races.store(0, relaxed);
     }
 }
 
@@ -110,10 +120,14 @@
     if (each == nullptr) {
         return;
     }
+    // One lost race may be chance. Several without an answer between them
+    // mean that the replica is slow, by an unknown factor.
     const auto known = each->service_time.load(relaxed);
     each->service_time.store(std::max(known, elapsed.count()), relaxed);
     each->updated_at.store(now.time_since_epoch().count(), relaxed);
-    each->failures.fetch_add(1, relaxed);
+    if (elapsed.count() > slow_multiple * known) {
+        each->lost_races.fetch_add(1, relaxed);
+    }
 }
 
 void replica_directory::set_draining(upstream_id target, bool is_draining)
@@ -192,8 +206,9 @@
         if (each == nullptr) {
             continue;
         }
+        const auto penalty = wanted.busy == replica ? busy_penalty : 1.0;
         const candidate next{replica,
-                             std::pow(cost(*each, wanted.rank, wanted.now),
+                             std::pow(penalty * cost(*each, wanted.rank, wanted.now),
                                       -preference_exponent)};
         const version_span served{each->version_low.load(relaxed),
                                   each->version_high.load(relaxed)};
@@ -201,8 +216,11 @@
                                    !served.contains(wanted.version);
         const bool is_recent =
             wanted.now - to_time(each->updated_at.load(relaxed)) < suspect_time;
+        const bool is_recently_slow =
+            wanted.now - to_time(each->updated_at.load(relaxed)) < slow_time;
         const bool is_suspect =
-            each->failures.load(relaxed) >= suspect_failures && is_recent;
+            (each->failures.load(relaxed) >= suspect_failures && is_recent) ||
+            (each->lost_races.load(relaxed) >= slow_races && is_recently_slow);
         if (each->is_draining.load(relaxed) || is_suspect || lacks_version) {
             doubtful.push_back(next);
             continue;
--- a/packages/policy/src/upstream_owner.cpp
+++ b/packages/policy/src/upstream_owner.cpp
@@ -45,7 +45,8 @@
                                hooks actions)
     : description_(std::move(description)), actions_(std::move(actions)),
       queue_(classes), limit_(description_.slots),
-      service_median_(median, service_window), service_average_(initial_service)
+      service_median_(median, service_window), service_average_(initial_service),
+      paces_(classes.size())
 {
     assert(actions_.dispatch && actions_.abort && actions_.reply);
 }
@@ -61,7 +62,21 @@
     if (ahead == 0 && running_.size() < limit_.allowed()) {
         return {};
     }
-    return (ahead + 1) * service_average_ / limit_.allowed();
+    if (rank == 0) {
+        return (ahead + 1) * service_average_ / limit_.allowed();
+    }
+    // The queue of more urgent classes says little about a less urgent one,
+    // since more may arrive; the pace at which the class is served says it.
+    return (queue_.size_of(rank) + 1) * paces_[rank].interval;
+}
+
+void upstream_owner::note_pace(const work_queue::waiting& next,
+                               runtime::time_point now)
+{
+    auto& pace = paces_[next.request.rank];
+    const auto since = std::max(pace.started_at, next.queued_at);
+    pace.interval += (now - since - pace.interval) / smoothing;
+    pace.started_at = now;
 }
 
 void upstream_owner::answer(const sub_request& request, sub_reply reply)
@@ -152,6 +167,7 @@
     const auto id = next.request.id;
     const auto rank = next.request.rank;
     const auto charged = expected_service();
+    note_pace(next, now);
     queue_.charge(rank, charged);
     if (rank == 0) {
         ++running_urgent_;
@@ -334,6 +350,7 @@
 void upstream_owner::set_classes(std::span<const priority_class> classes)
 {
     queue_.set_classes(classes);
+    paces_.resize(classes.size());
 }
 
 upstream_load upstream_owner::load(class_index rank) const
--- a/packages/policy/src/work_queue.cpp
+++ b/packages/policy/src/work_queue.cpp
@@ -12,6 +12,9 @@
 
 /// Time over which an unused share is remembered.
 constexpr runtime::duration credit_window = std::chrono::seconds(1);
+/// Longest time owed for service beyond the share. Service of idle capacity
+/// takes nothing from others, so that it is soon forgotten.
+constexpr runtime::duration max_debt = std::chrono::milliseconds(20);
 
 runtime::duration scaled(runtime::duration value, double factor)
 {
@@ -134,7 +137,7 @@
 void work_queue::charge(class_index rank, runtime::duration amount)
 {
     auto& each = lanes_[std::min(rank, lanes_.size() - 1)];
-    each.credit = std::max(each.credit - amount, -credit_window);
+    each.credit = std::max(each.credit - amount, -max_debt);
 }
 
 void work_queue::accrue(runtime::time_point now, std::uint32_t slots)
