--- a/packages/policy/src/query_coordinator.cpp
+++ b/packages/policy/src/query_coordinator.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint32_t max_refusals = 16;
 /// Part of the class deadline that a request may wait in a queue before its
 /// query counts as congested.
-constexpr double congested_fraction = 0.3;
+constexpr double congested_fraction = 0.5;
 
 runtime::duration backoff_after(std::uint32_t refusals)
 {
