policy: Trust nothing after a pause until health and peers are heard again

Change: an owner starts work only while its process trusts itself; after a pause it refuses what is queued as not run for 1.2 s and until a peer answers. Other classes leave a slot free beside urgent work while that class is within its share.

--- a/packages/node/include/tamarackhoist/node/owner_lane.hpp
+++ b/packages/node/include/tamarackhoist/node/owner_lane.hpp
@@ -49,6 +49,8 @@
     void apply_view(const cluster_view& view, const filter& is_in_lane);
     void take_over(const policy::upstream& described,
                    const policy::deployment& described_by);
+    /// Observes the clock and returns whether this process trusts itself.
+    [[nodiscard]] bool may_start(runtime::time_point now);
     void release(policy::upstream_id target);
     void handle_submit(policy::sub_request request, reply_handler reply);
     void deliver(policy::upstream_id target, policy::sub_reply reply);
--- a/packages/node/src/owner_lane.cpp
+++ b/packages/node/src/owner_lane.cpp
@@ -96,7 +96,13 @@
     auto& added = owned_[target];
     auto self = shared_from_this();
     added.client = upstreams::upstream_client::create(
-        strand_, time_, described, policy::owner_connections(described),
+        strand_, described, policy::owner_connections(described),
+        [self](const policy::sub_request& request) {
+            const auto now = self->time_.now();
+            return self->may_start(now) &&
+                   policy::is_worth_sending(request, now);
+        },
+        time_,
         [self, target](policy::request_id id, policy::upstream_report report) {
             auto* each = self->find(target);
             if (each == nullptr) {
@@ -126,7 +132,8 @@
             [client](policy::request_id id) { client->abort(id); },
             [self, target](policy::sub_reply reply) {
                 self->deliver(target, std::move(reply));
-            }});
+            },
+            [self](runtime::time_point now) { return self->may_start(now); }});
     added.timer = std::make_unique<asio::steady_timer>(strand_);
     if (listed_leaving_.contains(target)) {
         added.owner->set_listed_leaving(true, time_.now());
@@ -134,6 +141,12 @@
     added.client->start();
 }
 
+bool owner_lane::may_start(runtime::time_point now)
+{
+    guard_.observe(now);
+    return guard_.is_trusted(now);
+}
+
 void owner_lane::release(policy::upstream_id target)
 {
     auto* each = find(target);
@@ -170,13 +183,9 @@
 void owner_lane::handle_submit(policy::sub_request request, reply_handler reply)
 {
     const auto now = time_.now();
-    guard_.observe(now);
     auto* each = find(request.target);
-    const bool is_owner = each != nullptr && !each->is_released;
-    const auto reason =
-        policy::check_ownership(request, is_owner, guard_, now);
-    if (reason != policy::refusal::none) {
-        reply(make_refusal(request, reason));
+    if (each == nullptr || each->is_released) {
+        reply(make_refusal(request, policy::refusal::not_owner));
         return;
     }
     const auto target = request.target;
@@ -239,7 +248,6 @@
             if (error || woken == nullptr) {
                 return;
             }
-            self->guard_.observe(self->time_.now());
             woken->owner->advance(self->time_.now());
             self->arm_timer(target);
         });
--- a/packages/policy/include/tamarackhoist/policy/pause_guard.hpp
+++ b/packages/policy/include/tamarackhoist/policy/pause_guard.hpp
@@ -19,8 +19,9 @@
     static constexpr runtime::duration pause_gap =
         std::chrono::milliseconds(600);
     /// Time after a pause in which messages that were buffered during it are
-    /// still being read.
-    static constexpr runtime::duration quarantine = std::chrono::seconds(1);
+    /// still being read, and each health endpoint is read once.
+    static constexpr runtime::duration quarantine =
+        std::chrono::milliseconds(1200);
     /// Time after which a process without peers trusts itself again.
     static constexpr runtime::duration lonely_quarantine =
         std::chrono::seconds(3);
@@ -34,7 +35,7 @@
     /// Records an answer of a peer to a message that was sent at `sent_at`.
     void on_peer_heard(runtime::time_point sent_at);
 
-    /// Returns whether non-idempotent work may be started.
+    /// Returns whether work may be started.
     [[nodiscard]] bool is_trusted(runtime::time_point now) const;
 
 private:
--- a/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
@@ -6,7 +6,6 @@
 #include <span>
 #include <tamarackhoist/policy/concurrency_limit.hpp>
 #include <tamarackhoist/policy/latency_window.hpp>
-#include <tamarackhoist/policy/pause_guard.hpp>
 #include <tamarackhoist/policy/sub_request.hpp>
 #include <tamarackhoist/policy/work_queue.hpp>
 #include <unordered_map>
@@ -41,12 +40,6 @@
 [[nodiscard]] bool is_worth_sending(const sub_request& request,
                                     runtime::time_point now);
 
-/// Returns why a node refuses to take a request as the owner of its target,
-/// or `refusal::none`.
-[[nodiscard]] refusal check_ownership(const sub_request& request,
-                                      bool is_owner, const pause_guard& guard,
-                                      runtime::time_point now);
-
 /// Decides, for one upstream that this node owns, what is sent to it and
 /// when. Free of I/O; not thread-safe.
 class upstream_owner
@@ -59,6 +52,9 @@
         std::function<void(request_id)> abort;
         /// Answers the entry node.
         std::function<void(sub_reply)> reply;
+        /// Returns whether this process trusts its beliefs. It does not after
+        /// a pause: the upstream may drain, or have another owner, since.
+        std::function<bool(runtime::time_point)> may_start;
     };
 
     upstream_owner(upstream description,
@@ -139,8 +135,7 @@
     void pump(runtime::time_point now);
     void learn(const running& done, const upstream_report& report,
                runtime::time_point now);
-    [[nodiscard]] class_index
-    least_urgent_allowed(runtime::time_point now) const;
+    [[nodiscard]] start_limits limits_at(runtime::time_point now) const;
     [[nodiscard]] runtime::duration expected_service() const;
     [[nodiscard]] runtime::duration expected_wait(class_index rank) const;
 
--- a/packages/policy/include/tamarackhoist/policy/work_queue.hpp
+++ b/packages/policy/include/tamarackhoist/policy/work_queue.hpp
@@ -12,6 +12,14 @@
 namespace tamarackhoist::policy
 {
 
+/// The least urgent classes that may start a request now.
+struct start_limits {
+    /// For a class that is served in its turn.
+    class_index in_turn = 0;
+    /// For a class that claims its guaranteed share.
+    class_index by_share = 0;
+};
+
 /// Requests that wait for one upstream, in classes.
 ///
 /// The most urgent class is served first, and inside a class the earliest
@@ -44,9 +52,9 @@
     };
 
     /// Removes and returns the request to start next, or nothing when no
-    /// class up to `least_urgent_allowed` has one.
+    /// class within `limits` has one.
     [[nodiscard]] std::optional<waiting>
-    pop(runtime::time_point now, class_index least_urgent_allowed,
+    pop(runtime::time_point now, start_limits limits,
         runtime::duration expected_service);
 
     /// Removes the request with this identity, wherever it is queued.
@@ -68,6 +76,12 @@
     /// call.
     void accrue(runtime::time_point now, std::uint32_t slots);
 
+    /// Returns whether a class received no more than its guaranteed share.
+    [[nodiscard]] bool is_within_share(class_index rank) const
+    {
+        return lanes_[rank].credit > runtime::duration::zero();
+    }
+
     [[nodiscard]] std::size_t size() const { return positions_.size(); }
     [[nodiscard]] bool empty() const { return positions_.empty(); }
     [[nodiscard]] std::size_t size_of(class_index rank) const;
--- a/packages/policy/src/work_queue.cpp
+++ b/packages/policy/src/work_queue.cpp
@@ -64,18 +64,18 @@
 }
 
 std::optional<work_queue::waiting>
-work_queue::pop(runtime::time_point now, class_index least_urgent_allowed,
+work_queue::pop(runtime::time_point now, start_limits limits,
                 runtime::duration expected_service)
 {
     for (class_index rank = 0; rank < lanes_.size(); ++rank) {
         auto& each = lanes_[rank];
-        if (rank <= least_urgent_allowed &&
+        if (rank <= limits.by_share &&
             claims_share(each, now, expected_service)) {
             return take(each, each.requests.begin());
         }
     }
     for (class_index rank = 0; rank < lanes_.size(); ++rank) {
-        if (rank > least_urgent_allowed) {
+        if (rank > limits.in_turn) {
             break;
         }
         auto& each = lanes_[rank];
--- a/packages/replay/include/tamarackhoist/replay/world_node.hpp
+++ b/packages/replay/include/tamarackhoist/replay/world_node.hpp
@@ -95,6 +95,7 @@
     void arm_order(std::size_t number);
     void arm_owner(policy::upstream_id target);
     void take_over(const policy::upstream& described);
+    [[nodiscard]] bool may_start(runtime::time_point at);
     void release(policy::upstream_id target);
     void apply_view();
     void dispatch(policy::upstream_id target,
--- a/packages/replay/src/world.cpp
+++ b/packages/replay/src/world.cpp
@@ -602,7 +602,11 @@
     // Callbacks that refer to the old process check its incarnation; the
     // object stays until they are gone.
     replaced_.push_back(std::move(old));
+    // Until it has heard from others, the new process knows only itself.
+    std::vector<std::uint64_t> alone(nodes_.size(), 0);
+    alone[number] = incarnation;
     nodes_[number]->set_deployment(deployment_);
+    nodes_[number]->set_view(std::move(alone));
     for (std::size_t peer = 0; peer < nodes_.size(); ++peer) {
         if (peer == number) {
             continue;
--- a/packages/upstreams/include/tamarackhoist/upstreams/upstream_client.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/upstream_client.hpp
@@ -28,10 +28,15 @@
     /// Receives the versions and the drain of a health reply.
     using health_handler = std::function<void(policy::upstream_report)>;
 
+    /// Looked at right before a request is written: the process may have
+    /// been paused since the request was dispatched.
+    using write_check = std::function<bool(const policy::sub_request&)>;
+
     [[nodiscard]] static std::shared_ptr<upstream_client>
-    create(boost::asio::any_io_executor strand, runtime::clock time,
-           policy::upstream description, std::uint32_t max_connections,
-           report_handler on_report, health_handler on_health);
+    create(boost::asio::any_io_executor strand, policy::upstream description,
+           std::uint32_t max_connections, write_check may_write,
+           runtime::clock time, report_handler on_report,
+           health_handler on_health);
 
     /// Opens the connections and starts to read the health endpoint.
     void start();
@@ -55,9 +60,11 @@
 private:
     using connection_pointer = std::shared_ptr<transport::http_connection>;
 
-    upstream_client(boost::asio::any_io_executor strand, runtime::clock time,
-                    policy::upstream description, std::uint32_t max_connections,
-                    report_handler on_report, health_handler on_health);
+    upstream_client(boost::asio::any_io_executor strand,
+                    policy::upstream description,
+                    std::uint32_t max_connections, write_check may_write,
+                    runtime::clock time, report_handler on_report,
+                    health_handler on_health);
 
     void open_connections_ahead();
     void open_connection();
@@ -73,6 +80,7 @@
     const runtime::clock time_;
     const policy::upstream description_;
     const std::uint32_t max_connections_;
+    const write_check may_write_;
     const report_handler on_report_;
     const health_handler on_health_;
     boost::asio::steady_timer health_timer_;
--- a/packages/upstreams/src/upstream_client.cpp
+++ b/packages/upstreams/src/upstream_client.cpp
@@ -22,27 +22,27 @@
 
 } // namespace
 
-std::shared_ptr<upstream_client>
-upstream_client::create(boost::asio::any_io_executor strand,
-                        runtime::clock time, policy::upstream description,
-                        std::uint32_t max_connections, report_handler on_report,
-                        health_handler on_health)
+std::shared_ptr<upstream_client> upstream_client::create(
+    boost::asio::any_io_executor strand, policy::upstream description,
+    std::uint32_t max_connections, write_check may_write, runtime::clock time,
+    report_handler on_report, health_handler on_health)
 {
     return std::shared_ptr<upstream_client>(new upstream_client(
-        std::move(strand), std::move(time), std::move(description),
-        max_connections, std::move(on_report), std::move(on_health)));
+        std::move(strand), std::move(description), max_connections,
+        std::move(may_write), std::move(time), std::move(on_report),
+        std::move(on_health)));
 }
 
 upstream_client::upstream_client(boost::asio::any_io_executor strand,
-                                 runtime::clock time,
                                  policy::upstream description,
                                  std::uint32_t max_connections,
+                                 write_check may_write, runtime::clock time,
                                  report_handler on_report,
                                  health_handler on_health)
     : strand_(strand), time_(std::move(time)),
       description_(std::move(description)), max_connections_(max_connections),
-      on_report_(std::move(on_report)), on_health_(std::move(on_health)),
-      health_timer_(std::move(strand))
+      may_write_(std::move(may_write)), on_report_(std::move(on_report)),
+      on_health_(std::move(on_health)), health_timer_(std::move(strand))
 {
 }
 
@@ -149,11 +149,8 @@
                            connection_pointer connection)
 {
     const auto id = request.id;
-    // The deadline is looked at again right before the write: the process
-    // may have been paused since the request was dispatched.
-    const auto now = time_.now();
-    const auto remaining = request.deadline - now;
-    if (!policy::is_worth_sending(request, now)) {
+    const auto remaining = request.deadline - time_.now();
+    if (!may_write_(request)) {
         policy::upstream_report report;
         report.outcome = upstream_outcome::shed;
         idle_.push_back(std::move(connection));
