--- a/packages/node/src/owner_lane.cpp
+++ b/packages/node/src/owner_lane.cpp
@@ -117,8 +117,8 @@
             if (each == nullptr) {
                 return;
             }
-            each->owner->set_versions(report.versions);
-            each->owner->set_draining(report.is_draining, self->time_.now());
+            each->owner->on_health(report, self->time_.now());
+            self->arm_timer(target);
         });
     // The client outlives its use by the owner's hooks, and both end with
     // the entry.
@@ -133,7 +133,9 @@
             [self, target](policy::sub_reply reply) {
                 self->deliver(target, std::move(reply));
             },
-            [self](runtime::time_point now) { return self->may_start(now); }});
+            [self](runtime::time_point now) {
+                return self->may_start(now);
+            }});
     added.timer = std::make_unique<asio::steady_timer>(strand_);
     if (listed_leaving_.contains(target)) {
         added.owner->set_listed_leaving(true, time_.now());
--- a/packages/policy/include/tamarackhoist/policy/order_ledger.hpp
+++ b/packages/policy/include/tamarackhoist/policy/order_ledger.hpp
@@ -68,9 +68,11 @@
                                      const std::string& service,
                                      runtime::time_point now, waiter waiting);
 
-    /// Records the outcome of a claimed ticket and calls its waiters. After
-    /// `not_run` the ticket may be claimed again. An `unknown` outcome may
-    /// be replaced later, when the reply arrives after all.
+    /// Records the outcome of a claimed ticket and calls its waiters. It is
+    /// final, also when it is `not_run`: an earlier attempt with the same
+    /// ticket may still be on its way, and must not run after a refusal was
+    /// reported. Only an `unknown` outcome may be replaced later, when the
+    /// reply arrives after all.
     void settle(const order_ticket& ticket, const order_outcome& outcome);
 
     [[nodiscard]] std::size_t size() const;
--- a/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
@@ -91,8 +91,12 @@
 
     void set_classes(std::span<const priority_class> classes);
 
-    /// Records what a health or load endpoint said about served versions.
-    void set_versions(version_span versions) { versions_ = versions; }
+    /// Records what the health endpoint said. Until the first such report
+    /// nothing is started: an owner that has just taken over, or that lost
+    /// its connections, does not know whether the upstream drains. Requests
+    /// wait for `health_patience`; later ones are refused, until
+    /// `max_health_patience` shows that the endpoint itself is broken.
+    void on_health(const upstream_report& report, runtime::time_point now);
 
     [[nodiscard]] upstream_load load(class_index rank) const;
     [[nodiscard]] const upstream& description() const { return description_; }
@@ -108,6 +112,11 @@
         return running_.empty() && queue_.empty();
     }
 
+    static constexpr runtime::duration health_patience =
+        std::chrono::milliseconds(200);
+    static constexpr runtime::duration max_health_patience =
+        std::chrono::seconds(5);
+
     /// Consecutive failures after which an upstream is reported as suspect.
     static constexpr std::uint32_t suspect_failures = 3;
 
@@ -151,6 +160,8 @@
     std::optional<runtime::time_point> urgent_seen_at_;
     version_span versions_;
     std::uint32_t consecutive_failures_ = 0;
+    std::optional<runtime::time_point> first_request_at_;
+    bool is_known_ = false;
     bool is_draining_ = false;
     bool is_listed_leaving_ = false;
 };
--- a/packages/policy/src/order_ledger.cpp
+++ b/packages/policy/src/order_ledger.cpp
@@ -84,14 +84,12 @@
         }
         auto& each = found->second;
         const bool is_final = each.state == entry_state::settled &&
-                              each.outcome.status == order_status::ran;
+                              each.outcome.status != order_status::unknown;
         if (is_final) {
             return;
         }
         each.outcome = outcome;
-        each.state = outcome.status == order_status::not_run
-                         ? entry_state::issued
-                         : entry_state::settled;
+        each.state = entry_state::settled;
         waiters.swap(each.waiters);
     }
     for (const auto& each : waiters) {
--- a/packages/policy/src/upstream_owner.cpp
+++ b/packages/policy/src/upstream_owner.cpp
@@ -33,8 +33,8 @@
                                hooks actions)
     : description_(std::move(description)), actions_(std::move(actions)),
       queue_(classes), limit_(description_.slots),
-      service_median_(median, service_window), service_average_(initial_service),
-      paces_(classes.size())
+      service_median_(median, service_window),
+      service_average_(initial_service), paces_(classes.size())
 {
     assert(actions_.dispatch && actions_.abort && actions_.reply &&
            actions_.may_start);
@@ -117,6 +117,9 @@
         refuse(request, refusal::no_time, {});
         return;
     }
+    if (!first_request_at_) {
+        first_request_at_ = now;
+    }
     queue_.push(std::move(request), now);
     pump(now);
 }
@@ -145,13 +148,19 @@
         refuse_queued(refusal::node_resumed, now);
         return;
     }
+    if (!is_known_ && first_request_at_) {
+        const auto waited = now - *first_request_at_;
+        is_known_ = waited >= max_health_patience;
+        if (!is_known_ && waited >= health_patience) {
+            refuse_queued(refusal::not_connected, now);
+        }
+    }
     queue_.accrue(now, limit_.allowed());
     for (auto& each : queue_.remove_expired(now, expected_service())) {
         refuse(each.request, refusal::no_time, now - each.queued_at);
     }
-    while (!is_draining() && running_.size() < limit_.allowed()) {
-        auto next =
-            queue_.pop(now, limits_at(now), expected_service());
+    while (is_known_ && !is_draining() && running_.size() < limit_.allowed()) {
+        auto next = queue_.pop(now, limits_at(now), expected_service());
         if (!next) {
             break;
         }
@@ -198,6 +207,9 @@
         limit_.on_shed(now);
         break;
     case upstream_outcome::not_connected:
+        // What was known of the upstream may have changed out of sight.
+        is_known_ = false;
+        first_request_at_.reset();
         limit_.restart();
         ++consecutive_failures_;
         break;
@@ -212,6 +224,7 @@
         break;
     }
     if (report.versions.high != 0) {
+        is_known_ = true;
         versions_ = report.versions;
     }
 }
@@ -310,6 +323,9 @@
         *earliest -= std::min<runtime::duration>(expected_service(),
                                                  earliest->time_since_epoch());
     }
+    if (earliest && !is_known_ && first_request_at_) {
+        earliest = std::min(*earliest, *first_request_at_ + health_patience);
+    }
     for (const auto& [id, each] : running_) {
         if (each.is_abandoned || !each.request.is_idempotent) {
             continue;
@@ -320,6 +336,17 @@
     return earliest;
 }
 
+void upstream_owner::on_health(const upstream_report& report,
+                               runtime::time_point now)
+{
+    is_known_ = true;
+    versions_ = report.versions;
+    if (report.is_draining != is_draining_) {
+        set_draining(report.is_draining, now);
+    }
+    pump(now);
+}
+
 void upstream_owner::set_draining(bool is_draining, runtime::time_point now)
 {
     is_draining_ = is_draining;
--- a/packages/replay/include/tamarackhoist/replay/world_node.hpp
+++ b/packages/replay/include/tamarackhoist/replay/world_node.hpp
@@ -63,6 +63,8 @@
     void read_health();
 
 private:
+    void read_health_of(policy::upstream_id target);
+
     struct owned_upstream {
         std::unique_ptr<policy::upstream_owner> owner;
         /// Caller request and entry node of each open sub-request.
