peers: Exchange all members and tell deaths at once

Cause: tests on the paused clock showed 100 members that started together still disagreeing after 20 s, and a death that took over 3 s to be known. Change: one peer is asked for all members every 20 s, every second while the count grows; a changed state is told to three peers at once.

--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -169,6 +169,21 @@
     hooks.on_ack = [this](runtime::time_point sent_at) {
         guard_.on_peer_heard(sent_at);
     };
+    hooks.pull = [this](const peers::member& peer) {
+        links_.link_to(peer)->call(
+            peers::call_path::members, {},
+            [this](std::string_view message) {
+                auto members = peers::decode_members(message);
+                if (!members) {
+                    return;
+                }
+                asio::post(peer_server_->gossip_executor(),
+                           [this, moved = std::move(*members)] {
+                               membership_->merge(moved, time_.now());
+                           });
+            },
+            [](peers::call_end) {});
+    };
     return hooks;
 }
 
@@ -289,6 +304,15 @@
         }
         call->finish();
         return;
+    case peers::call_path::members: {
+        std::vector<peers::member> members;
+        for (const auto& [id, each] : cluster_.view()->members) {
+            members.push_back(each);
+        }
+        call->reply(peers::encode_members(members));
+        call->finish();
+        return;
+    }
     case peers::call_path::unknown:
         runtime::log_event(event_number::peer_message_rejected,
                            "call to an unknown path");
--- a/packages/peers/include/tamarackhoist/peers/gossip_message.hpp
+++ b/packages/peers/include/tamarackhoist/peers/gossip_message.hpp
@@ -58,6 +58,11 @@
 /// Encodes a message. Updates that do not fit are left out.
 [[nodiscard]] std::string encode_gossip(const gossip_message& message);
 
+/// Encodes all members, for an exchange over a connection.
+[[nodiscard]] std::string encode_members(std::span<const member> members);
+[[nodiscard]] std::optional<std::vector<member>>
+decode_members(std::string_view message);
+
 /// Decodes a datagram; returns nothing for malformed ones and for other
 /// protocol versions.
 [[nodiscard]] std::optional<gossip_message>
--- a/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
+++ b/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
@@ -25,6 +25,7 @@
     order,
     document,
     push,
+    members,
     unknown
 };
 
--- a/packages/peers/include/tamarackhoist/peers/membership.hpp
+++ b/packages/peers/include/tamarackhoist/peers/membership.hpp
@@ -22,15 +22,20 @@
     runtime::duration probe_interval = std::chrono::milliseconds(400);
     /// Time after which an unanswered ping is tried through other members.
     runtime::duration direct_timeout = std::chrono::milliseconds(150);
-    runtime::duration suspicion_timeout = std::chrono::milliseconds(1200);
+    runtime::duration suspicion_timeout = std::chrono::milliseconds(1000);
     /// Time after which a dead member is forgotten.
     runtime::duration dead_retention = std::chrono::minutes(10);
     std::size_t indirect_probes = 3;
     /// One in this many probes goes to another failure domain.
     std::uint32_t remote_probe_interval = 4;
     /// Times an update is sent, per doubling of the member count.
-    std::uint32_t sends_per_doubling = 3;
-    std::size_t updates_per_message = 8;
+    std::uint32_t sends_per_doubling = 2;
+    std::size_t updates_per_message = 14;
+    /// Interval of the exchange of all members with one peer, which settles
+    /// what lost datagrams and mass starts leave behind.
+    runtime::duration exchange_interval = std::chrono::seconds(20);
+    /// Interval of that exchange while the member count still grows.
+    runtime::duration join_interval = std::chrono::seconds(1);
 };
 
 /// Gossip membership with direct and indirect probes, suspicion, and
@@ -50,6 +55,9 @@
         std::function<void(const member&, const digest_summary&)>
             on_other_digest;
         std::function<void(const drain_update&)> on_drain;
+        /// Asks a peer for all members that it knows; the answer goes to
+        /// `merge`.
+        std::function<void(const member&)> pull;
         /// A peer answered a ping that was sent at the given time.
         std::function<void(runtime::time_point)> on_ack;
     };
@@ -66,6 +74,9 @@
 
     void on_message(const gossip_message& message, runtime::time_point now);
 
+    /// Takes over what another node knows about all members.
+    void merge(std::span<const member> known, runtime::time_point now);
+
     /// Forgets pending probes after a pause: that nobody was heard during it
     /// says nothing about the others.
     void on_resumed(runtime::time_point now);
@@ -126,6 +137,8 @@
     void on_probe_failed(record& target, runtime::time_point now);
     void expire(runtime::time_point now);
     void contact_seeds(runtime::time_point now);
+    void exchange_members(runtime::time_point now);
+    void tell_some_peers();
     void on_ack(std::uint64_t sequence, runtime::time_point now);
     [[nodiscard]] std::optional<member> next_probe_target();
     [[nodiscard]] std::vector<member> next_updates();
@@ -147,6 +160,8 @@
     std::uint32_t self_sends_ = 0;
     runtime::time_point probed_at_;
     runtime::time_point seeded_at_;
+    runtime::time_point exchanged_at_;
+    std::size_t exchanged_count_ = 0;
     runtime::time_point heard_at_;
     bool has_heard_ = false;
     digest_summary digest_;
--- a/packages/peers/src/gossip_message.cpp
+++ b/packages/peers/src/gossip_message.cpp
@@ -112,4 +112,33 @@
     return message;
 }
 
+std::string encode_members(std::span<const member> members)
+{
+    wire::MemberList encoded;
+    encoded.set_protocol(protocol_version);
+    for (const auto& each : members) {
+        encode_member(each, *encoded.add_members());
+    }
+    return encoded.SerializeAsString();
+}
+
+std::optional<std::vector<member>> decode_members(std::string_view message)
+{
+    wire::MemberList encoded;
+    if (!encoded.ParseFromArray(message.data(),
+                                static_cast<int>(message.size())) ||
+        encoded.protocol() != protocol_version) {
+        return std::nullopt;
+    }
+    std::vector<member> members;
+    for (const auto& each : encoded.members()) {
+        auto decoded = decode_member(each);
+        if (!decoded) {
+            return std::nullopt;
+        }
+        members.push_back(std::move(*decoded));
+    }
+    return members;
+}
+
 } // namespace tamarackhoist::peers
--- a/packages/peers/src/http2_channel.cpp
+++ b/packages/peers/src/http2_channel.cpp
@@ -35,6 +35,7 @@
     named_path{call_path::order, "/v1/order"},
     named_path{call_path::document, "/v1/document"},
     named_path{call_path::push, "/v1/push"},
+    named_path{call_path::members, "/v1/members"},
 };
 
 std::string frame(const std::string& message)
--- a/packages/peers/src/membership.cpp
+++ b/packages/peers/src/membership.cpp
@@ -24,7 +24,8 @@
       random_(seed)
 {
     assert(actions_.send && actions_.on_change && actions_.on_transition &&
-           actions_.on_other_digest && actions_.on_drain && actions_.on_ack);
+           actions_.on_other_digest && actions_.on_drain && actions_.on_ack &&
+           actions_.pull);
 }
 
 bool membership::counts_as_live(const member& each)
@@ -46,6 +47,7 @@
     expire(now);
     check_probe(now);
     contact_seeds(now);
+    exchange_members(now);
     if (now - probed_at_ >= settings_.probe_interval) {
         probed_at_ = now;
         start_probe(now);
@@ -173,6 +175,37 @@
     });
 }
 
+void membership::exchange_members(runtime::time_point now)
+{
+    const bool has_grown = others_.size() > exchanged_count_;
+    const auto interval = has_grown ? settings_.join_interval
+                                    : settings_.exchange_interval;
+    if (now - exchanged_at_ < interval) {
+        return;
+    }
+    const auto peers = random_peers(1);
+    if (peers.empty()) {
+        return;
+    }
+    exchanged_at_ = now;
+    exchanged_count_ = others_.size();
+    actions_.pull(peers.front());
+}
+
+void membership::merge(std::span<const member> known, runtime::time_point now)
+{
+    for (const auto& each : known) {
+        apply(each, now);
+    }
+}
+
+void membership::tell_some_peers()
+{
+    for (const auto& peer : random_peers(settings_.indirect_probes)) {
+        send(peer.where, gossip_kind::ping, next_sequence_++);
+    }
+}
+
 void membership::contact_seeds(runtime::time_point now)
 {
     if (seeds_.empty() || now - seeded_at_ < seed_interval) {
@@ -381,9 +414,7 @@
     }
     // A greater refutation count overrides every belief that is out.
     self_.refutation = update.refutation + 1;
-    for (const auto& peer : random_peers(settings_.indirect_probes)) {
-        send(peer.where, gossip_kind::ping, next_sequence_++);
-    }
+    tell_some_peers();
     (void)now;
 }
 
@@ -396,6 +427,8 @@
     each.remaining_sends = sends_of_update();
     actions_.on_transition(each.description, before);
     actions_.on_change();
+    // The hand-over of the member's upstreams waits for this news.
+    tell_some_peers();
 }
 
 void membership::on_resumed(runtime::time_point now)
--- /dev/null
+++ b/packages/peers/tests/membership_test.cpp
@@ -0,0 +1,282 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <rapidcheck.h>
+#include <tamarackhoist/peers/membership.hpp>
+#include <tamarackhoist/peers/peer_codec.hpp>
+#include <tamarackhoist/runtime/virtual_scheduler.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace tamarackhoist;
+using namespace std::chrono_literals;
+using peers::member_state;
+
+namespace
+{
+
+/// Members on a paused clock, with links that lose datagrams.
+class member_fleet
+{
+public:
+    member_fleet(std::size_t count, double loss) : loss_(loss)
+    {
+        for (std::size_t number = 0; number < count; ++number) {
+            add(number, 1);
+        }
+    }
+
+    void add(std::size_t number, std::uint64_t incarnation)
+    {
+        peers::member self;
+        self.name = "node" + std::to_string(number);
+        self.where = {"127.0.0.1", static_cast<std::uint16_t>(1000 + number)};
+        self.failure_domain = "d" + std::to_string(number % 4);
+        self.incarnation = incarnation;
+        peers::membership::hooks hooks;
+        hooks.send = [this, number](const transport::endpoint& to,
+                                    const peers::gossip_message& message) {
+            send(number, to.port - 1000U, message);
+        };
+        hooks.on_change = [] {};
+        hooks.on_transition = [](const peers::member&, member_state) {};
+        hooks.on_other_digest = [](const peers::member&,
+                                   const peers::digest_summary&) {};
+        hooks.on_drain = [](const peers::drain_update&) {};
+        hooks.on_ack = [](runtime::time_point) {};
+        hooks.pull = [this, number](const peers::member& peer) {
+            pull(number, peer.where.port - 1000U);
+        };
+        nodes[number] = std::make_unique<peers::membership>(
+            self, peers::membership_settings{}, std::move(hooks),
+            number * 31 + incarnation);
+        nodes[number]->add_seed({"127.0.0.1", 1000});
+        nodes[number]->add_seed({"127.0.0.1", 1001});
+        is_paused[number] = false;
+        tick(number, incarnation);
+    }
+
+    void run(runtime::duration time)
+    {
+        scheduler.run_until(scheduler.now() + time);
+    }
+
+    /// Returns whether every running node sees exactly `live` nodes.
+    [[nodiscard]] bool agrees_on(std::size_t live) const
+    {
+        return std::ranges::all_of(nodes, [&](const auto& item) {
+            return is_paused.at(item.first) ||
+                   item.second->live_nodes().size() == live;
+        });
+    }
+
+    std::map<std::size_t, std::unique_ptr<peers::membership>> nodes;
+    std::map<std::size_t, bool> is_paused;
+    std::map<std::size_t, bool> is_cut;
+    runtime::virtual_scheduler scheduler;
+    std::size_t largest = 0;
+    std::size_t bytes = 0;
+
+private:
+    void tick(std::size_t number, std::uint64_t incarnation)
+    {
+        scheduler.after(50ms, [this, number, incarnation] {
+            const auto found = nodes.find(number);
+            if (found == nodes.end() ||
+                found->second->self().incarnation != incarnation) {
+                return;
+            }
+            if (!is_paused[number]) {
+                found->second->tick(scheduler.now());
+            }
+            tick(number, incarnation);
+        });
+    }
+
+    void send(std::size_t from, std::size_t to,
+              const peers::gossip_message& message)
+    {
+        const auto datagram = peers::encode_gossip(message);
+        largest = std::max(largest, datagram.size());
+        bytes += datagram.size();
+        const bool is_lost =
+            std::uniform_real_distribution<>(0, 1)(random_) < loss_;
+        if (is_lost || is_cut[from] != is_cut[to]) {
+            return;
+        }
+        scheduler.after(500us, [this, to, datagram] {
+            const auto found = nodes.find(to);
+            if (found == nodes.end() || is_paused[to]) {
+                return;
+            }
+            const auto decoded = peers::decode_gossip(datagram);
+            found->second->on_message(*decoded, scheduler.now());
+        });
+    }
+
+    /// Exchanges all members over a reliable connection.
+    void pull(std::size_t from, std::size_t to)
+    {
+        const bool is_reachable =
+            nodes.contains(to) && !is_paused[to] && is_cut[from] == is_cut[to];
+        if (!is_reachable) {
+            return;
+        }
+        const auto text = peers::encode_members(nodes[to]->members());
+        bytes += text.size();
+        scheduler.after(1ms, [this, from, text] {
+            if (nodes.contains(from)) {
+                nodes[from]->merge(*peers::decode_members(text),
+                                   scheduler.now());
+            }
+        });
+    }
+
+    const double loss_;
+    std::mt19937_64 random_{1};
+};
+
+void a_dead_member_is_found_within_three_seconds()
+{
+    member_fleet fleet(6, 0.01);
+    fleet.run(5s);
+    cr_assert(fleet.agrees_on(6));
+    fleet.nodes.erase(3);
+    fleet.run(3s);
+    cr_assert(fleet.agrees_on(5));
+}
+
+void a_lossy_network_kills_nobody()
+{
+    member_fleet fleet(12, 0.05);
+    fleet.run(5s);
+    for (int second = 0; second < 60; ++second) {
+        fleet.run(1s);
+        cr_assert(fleet.agrees_on(12), "second %d", second);
+    }
+}
+
+void a_paused_member_returns()
+{
+    member_fleet fleet(6, 0.01);
+    fleet.run(5s);
+    fleet.is_paused[2] = true;
+    fleet.run(10s);
+    cr_assert(fleet.agrees_on(5));
+    fleet.is_paused[2] = false;
+    fleet.nodes[2]->on_resumed(fleet.scheduler.now());
+    fleet.run(5s);
+    cr_assert(fleet.agrees_on(6));
+    // It did not take the others for dead meanwhile.
+    cr_assert_eq(fleet.nodes[2]->live_nodes().size(), 6U);
+}
+
+void a_healed_partition_has_one_view_within_five_seconds()
+{
+    member_fleet fleet(8, 0);
+    fleet.run(5s);
+    for (const std::size_t number : {0U, 4U}) {
+        fleet.is_cut[number] = true;
+    }
+    fleet.run(60s);
+    cr_assert_eq(fleet.nodes[0]->live_nodes().size(), 2U);
+    cr_assert_eq(fleet.nodes[1]->live_nodes().size(), 6U);
+    for (const std::size_t number : {0U, 4U}) {
+        fleet.is_cut[number] = false;
+    }
+    fleet.run(5s);
+    cr_assert(fleet.agrees_on(8));
+}
+
+void a_replaced_member_is_one_member()
+{
+    member_fleet fleet(6, 0.01);
+    fleet.run(5s);
+    fleet.nodes.erase(3);
+    fleet.run(200ms);
+    fleet.add(3, 2);
+    fleet.run(5s);
+    cr_assert(fleet.agrees_on(6));
+    const auto seen = fleet.nodes[0]->find(policy::node_id::of("node3"));
+    cr_assert_eq(seen->incarnation, 2U);
+}
+
+void a_leaving_member_owns_nothing_at_once()
+{
+    member_fleet fleet(6, 0);
+    fleet.run(5s);
+    fleet.nodes[3]->leave(fleet.scheduler.now());
+    fleet.run(100ms);
+    for (const auto& [number, node] : fleet.nodes) {
+        const auto nodes = node->live_nodes();
+        const auto leaver = std::ranges::find(
+            nodes, policy::node_id::of("node3"), &policy::node_view::id);
+        cr_assert(leaver != nodes.end() && leaver->is_leaving);
+    }
+}
+
+void datagrams_stay_small_in_a_large_fleet()
+{
+    member_fleet fleet(100, 0);
+    fleet.run(20s);
+    cr_assert(fleet.agrees_on(100));
+    cr_assert_leq(fleet.largest, peers::max_datagram_bytes);
+}
+
+void garbage_is_not_a_message()
+{
+    const auto property = [](const std::string& text) {
+        (void)peers::decode_gossip(text);
+        (void)peers::decode_sub_requests(text, {});
+        (void)peers::decode_sub_reply(text);
+        (void)peers::decode_order(text);
+        (void)peers::decode_outcome(text);
+        (void)peers::decode_cancel(text);
+        (void)peers::decode_sections(text);
+        (void)peers::decode_document_request(text);
+    };
+    cr_assert(rc::check("garbage does not crash a decoder", property));
+    cr_assert(!peers::decode_gossip("garbage"));
+    cr_assert(!peers::decode_gossip(std::string(5000, 'x')));
+}
+
+void requests_survive_the_wire()
+{
+    const runtime::time_point now(5s);
+    policy::sub_request request;
+    request.id = {3, 4};
+    request.target = {5};
+    request.rank = 1;
+    request.deadline = now + 120ms;
+    request.range = {10, 20};
+    request.version = 6;
+    request.may_redirect = true;
+    request.body = std::make_shared<const std::string>("body");
+    // Read after a pause, the deadline counts from the reading.
+    const runtime::time_point later(50s);
+    const auto decoded = peers::decode_sub_requests(
+        peers::encode_sub_requests(std::span(&request, 1), now), later);
+    cr_assert(decoded && decoded->size() == 1);
+    const auto& copy = decoded->front();
+    cr_assert(copy.id == request.id && copy.target == request.target);
+    cr_assert(copy.range == request.range && copy.version == 6);
+    cr_assert(copy.deadline == later + 120ms);
+    cr_assert(copy.may_redirect && copy.is_idempotent && !copy.is_hedge);
+    cr_assert_eq(*copy.body, "body");
+}
+
+} // namespace
+
+Test(membership, dead) { a_dead_member_is_found_within_three_seconds(); }
+Test(membership, loss) { a_lossy_network_kills_nobody(); }
+Test(membership, pause) { a_paused_member_returns(); }
+Test(membership, partition)
+{
+    a_healed_partition_has_one_view_within_five_seconds();
+}
+Test(membership, replaced) { a_replaced_member_is_one_member(); }
+Test(membership, leave) { a_leaving_member_owns_nothing_at_once(); }
+Test(membership, size) { datagrams_stay_small_in_a_large_fleet(); }
+Test(peer_codec, garbage) { garbage_is_not_a_message(); }
+Test(peer_codec, round_trip) { requests_survive_the_wire(); }
--- a/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
@@ -94,8 +94,8 @@
     /// Records what the health endpoint said. Until the first such report
     /// nothing is started: an owner that has just taken over, or that lost
     /// its connections, does not know whether the upstream drains. Requests
-    /// wait for `health_patience`; later ones are refused, until
-    /// `max_health_patience` shows that the endpoint itself is broken.
+    /// wait for `health_patience`; later ones are refused. Any answer of the
+    /// endpoint counts, also an error.
     void on_health(const upstream_report& report, runtime::time_point now);
 
     [[nodiscard]] upstream_load load(class_index rank) const;
@@ -114,8 +114,6 @@
 
     static constexpr runtime::duration health_patience =
         std::chrono::milliseconds(200);
-    static constexpr runtime::duration max_health_patience =
-        std::chrono::seconds(5);
 
     /// Consecutive failures after which an upstream is reported as suspect.
     static constexpr std::uint32_t suspect_failures = 3;
--- a/packages/policy/src/upstream_owner.cpp
+++ b/packages/policy/src/upstream_owner.cpp
@@ -150,8 +150,7 @@
     }
     if (!is_known_ && first_request_at_) {
         const auto waited = now - *first_request_at_;
-        is_known_ = waited >= max_health_patience;
-        if (!is_known_ && waited >= health_patience) {
+        if (waited >= health_patience) {
             refuse_queued(refusal::not_connected, now);
         }
     }
