--- a/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
@@ -91,11 +91,11 @@
 
     void set_classes(std::span<const priority_class> classes);
 
-    /// Records what the health endpoint said. Until the first such report
-    /// nothing is started: an owner that has just taken over, or that lost
-    /// its connections, does not know whether the upstream drains. Requests
-    /// wait for `health_patience`; later ones are refused. Any answer of the
-    /// endpoint counts, also an error.
+    /// Records what the health endpoint said. Nothing is started while the
+    /// last reply or health report is older than `state_validity`: an owner
+    /// that has just taken over, or that lost its connections, does not know
+    /// whether the upstream drains. Requests wait for `health_patience` and
+    /// are refused then. Any answer of the endpoint counts, also an error.
     void on_health(const upstream_report& report, runtime::time_point now);
 
     [[nodiscard]] upstream_load load(class_index rank) const;
@@ -112,6 +112,9 @@
         return running_.empty() && queue_.empty();
     }
 
+    /// Below the 2 s after which a leaving upstream gets no new work.
+    static constexpr runtime::duration state_validity =
+        std::chrono::milliseconds(1900);
     static constexpr runtime::duration health_patience =
         std::chrono::milliseconds(200);
 
@@ -142,6 +145,7 @@
     void pump(runtime::time_point now);
     void learn(const running& done, const upstream_report& report,
                runtime::time_point now);
+    [[nodiscard]] bool knows_state(runtime::time_point now) const;
     [[nodiscard]] start_limits limits_at(runtime::time_point now) const;
     [[nodiscard]] runtime::duration expected_service() const;
     [[nodiscard]] runtime::duration expected_wait(class_index rank) const;
@@ -159,7 +163,7 @@
     version_span versions_;
     std::uint32_t consecutive_failures_ = 0;
     std::optional<runtime::time_point> first_request_at_;
-    bool is_known_ = false;
+    std::optional<runtime::time_point> known_at_;
     bool is_draining_ = false;
     bool is_listed_leaving_ = false;
 };
--- a/packages/policy/src/upstream_owner.cpp
+++ b/packages/policy/src/upstream_owner.cpp
@@ -117,7 +117,7 @@
         refuse(request, refusal::no_time, {});
         return;
     }
-    if (!first_request_at_) {
+    if (queue_.empty()) {
         first_request_at_ = now;
     }
     queue_.push(std::move(request), now);
@@ -148,17 +148,19 @@
         refuse_queued(refusal::node_resumed, now);
         return;
     }
-    if (!is_known_ && first_request_at_) {
-        const auto waited = now - *first_request_at_;
-        if (waited >= health_patience) {
-            refuse_queued(refusal::not_connected, now);
-        }
+    const bool is_current = knows_state(now);
+    if (!is_current) {
+        known_at_.reset();
+    }
+    if (!is_current && first_request_at_ &&
+        now - *first_request_at_ >= health_patience) {
+        refuse_queued(refusal::not_connected, now);
     }
     queue_.accrue(now, limit_.allowed());
     for (auto& each : queue_.remove_expired(now, expected_service())) {
         refuse(each.request, refusal::no_time, now - each.queued_at);
     }
-    while (is_known_ && !is_draining() && running_.size() < limit_.allowed()) {
+    while (is_current && !is_draining() && running_.size() < limit_.allowed()) {
         auto next = queue_.pop(now, limits_at(now), expected_service());
         if (!next) {
             break;
@@ -207,8 +209,7 @@
         break;
     case upstream_outcome::not_connected:
         // What was known of the upstream may have changed out of sight.
-        is_known_ = false;
-        first_request_at_.reset();
+        known_at_.reset();
         limit_.restart();
         ++consecutive_failures_;
         break;
@@ -223,7 +224,7 @@
         break;
     }
     if (report.versions.high != 0) {
-        is_known_ = true;
+        known_at_ = now;
         versions_ = report.versions;
     }
 }
@@ -322,7 +323,7 @@
         *earliest -= std::min<runtime::duration>(expected_service(),
                                                  earliest->time_since_epoch());
     }
-    if (earliest && !is_known_ && first_request_at_) {
+    if (earliest && first_request_at_ && !known_at_) {
         earliest = std::min(*earliest, *first_request_at_ + health_patience);
     }
     for (const auto& [id, each] : running_) {
@@ -335,10 +336,15 @@
     return earliest;
 }
 
+bool upstream_owner::knows_state(runtime::time_point now) const
+{
+    return known_at_ && now - *known_at_ <= state_validity;
+}
+
 void upstream_owner::on_health(const upstream_report& report,
                                runtime::time_point now)
 {
-    is_known_ = true;
+    known_at_ = now;
     versions_ = report.versions;
     if (report.is_draining != is_draining_) {
         set_draining(report.is_draining, now);
