node: Read an upstream's health on its first connection

Change: health is read as soon as the first connection stands. Failure tests on real processes: killed, paused, replaced and restarted nodes, an outage and a step back of the platform, bad edits, drains, garbage.

--- a/packages/upstreams/src/upstream_client.cpp
+++ b/packages/upstreams/src/upstream_client.cpp
@@ -48,8 +48,9 @@
 
 void upstream_client::start()
 {
+    is_stopped_ = false;
     open_connections_ahead();
-    read_health();
+    schedule_health();
 }
 
 void upstream_client::open_connections_ahead()
@@ -78,6 +79,10 @@
     if (is_connected) {
         open_connections_ahead();
         release(connection);
+        // The first connection, also after an outage, brings the first news.
+        if (connection_count_ - connecting_ == 1) {
+            read_health();
+        }
         return;
     }
     --connection_count_;
