policy: Refuse at once where news of an upstream ended

Cause: with one replica of every shard lost, 1.1% of the urgent queries waited 200 ms at an owner without news of its upstream and came too late. Change: only the first news after a take-over is waited for.

--- a/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_owner.hpp
@@ -164,6 +164,7 @@
     std::uint32_t consecutive_failures_ = 0;
     std::optional<runtime::time_point> first_request_at_;
     std::optional<runtime::time_point> known_at_;
+    bool was_known_ = false;
     bool is_draining_ = false;
     bool is_listed_leaving_ = false;
 };
--- a/packages/policy/src/upstream_owner.cpp
+++ b/packages/policy/src/upstream_owner.cpp
@@ -151,10 +151,13 @@
     const bool is_current = knows_state(now);
     if (!is_current) {
         known_at_.reset();
-    }
-    if (!is_current && first_request_at_ &&
-        now - *first_request_at_ >= health_patience) {
-        refuse_queued(refusal::not_connected, now);
+        // After a take-over the first news takes a moment. News that ended
+        // may never come back, and other replicas can answer now.
+        const bool is_waiting = !was_known_ && first_request_at_ &&
+                                now - *first_request_at_ < health_patience;
+        if (!is_waiting) {
+            refuse_queued(refusal::not_connected, now);
+        }
     }
     queue_.accrue(now, limit_.allowed());
     for (auto& each : queue_.remove_expired(now, expected_service())) {
@@ -225,6 +228,7 @@
     }
     if (report.versions.high != 0) {
         known_at_ = now;
+        was_known_ = true;
         versions_ = report.versions;
     }
 }
@@ -345,6 +349,7 @@
                                runtime::time_point now)
 {
     known_at_ = now;
+    was_known_ = true;
     versions_ = report.versions;
     if (report.is_draining != is_draining_) {
         set_draining(report.is_draining, now);
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,6 +7,8 @@
 platform_port=${platform_port:-7000}
 control_port=$((platform_port + 1))
 declare -A pids
+# A stopped process of an orphaned group would be hung up otherwise.
+trap '' HUP
 
 now_ms() { date +%s%3N; }
 
