policy: Hash the upstreams of one index in groups

Cause: measured at 6,600 upstreams, a query to 220 of them reached 194 owners, since groups were per service and a service has two upstreams. Change: groups of seven per index and failure domain.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,20 @@
 
 format:
 	git ls-files '*.cpp' '*.hpp' | xargs clang-format -i
+
+.PHONY: bench capacity fuzz failure-tests
+# Replays every trace and writes build/figures.txt.
+bench: build
+	scripts/bench.sh $(BUILD)
+
+# Prints the measured points behind docs/CAPACITY.md.
+capacity: build
+	$(BUILD)/stand_ins/measure_capacity
+
+# A long random run against the promises; prints how to repeat a failure.
+fuzz: build
+	RC_PARAMS="max_success=5000 max_size=80" \
+	    $(BUILD)/packages/replay/promise_fuzz_test -j1
+
+failure-tests: build
+	scripts/failure_tests.sh $(BUILD)
--- a/packages/policy/include/tamarackhoist/policy/ownership.hpp
+++ b/packages/policy/include/tamarackhoist/policy/ownership.hpp
@@ -22,12 +22,12 @@
 /// Assigns each upstream to one node by rendezvous hashing.
 ///
 /// Candidates are the live nodes of the upstream's own failure domain, or
-/// all live nodes when that domain has none. The upstreams of one service
-/// are hashed in groups, so that a query reaches few owners.
+/// all live nodes when that domain has none. The upstreams of one index are
+/// hashed in groups, so that a query over many shards reaches few owners.
 class ownership
 {
 public:
-    /// Upstreams of one service and failure domain per group.
+    /// Upstreams of one index and failure domain per group.
     static constexpr std::size_t group_size = 7;
 
     ownership() = default;
--- a/packages/policy/src/ownership.cpp
+++ b/packages/policy/src/ownership.cpp
@@ -30,6 +30,23 @@
     return best;
 }
 
+/// Returns the index of each upstream that holds a shard of one.
+std::unordered_map<upstream_id, std::string>
+placement_names(const deployment& described)
+{
+    std::unordered_map<upstream_id, std::string> names;
+    for (const auto& service : described.services()) {
+        for (const auto& shard : described.shards_of_service(service.name)) {
+            for (const auto replica : shard.replicas) {
+                names.try_emplace(replica, shard.index.empty()
+                                               ? shard.service
+                                               : "index " + shard.index);
+            }
+        }
+    }
+    return names;
+}
+
 } // namespace
 
 ownership::ownership(const deployment& described,
@@ -44,16 +61,19 @@
         everywhere.push_back(each);
         by_domain[each.failure_domain].push_back(each);
     }
+    const auto placements = placement_names(described);
     // Members of a group are numbered in the order of the document.
     std::map<std::pair<std::string, std::string>, std::size_t> positions;
     for (const auto& each : described.upstreams()) {
         const auto domain = by_domain.find(each.failure_domain);
         const auto& candidates =
             domain == by_domain.end() ? everywhere : domain->second;
-        auto& position = positions[{each.service, each.failure_domain}];
-        const auto group =
-            hash_pair(hash_text(each.service + '@' + each.failure_domain),
-                      position / group_size);
+        const auto placed = placements.find(each.id);
+        const auto& name =
+            placed == placements.end() ? each.service : placed->second;
+        auto& position = positions[{name, each.failure_domain}];
+        const auto group = hash_pair(
+            hash_text(name + '@' + each.failure_domain), position / group_size);
         ++position;
         if (const auto owner = highest_weight(group, candidates)) {
             owners_[each.id] = *owner;
