--- a/packages/node/src/configuration_service.cpp
+++ b/packages/node/src/configuration_service.cpp
@@ -24,6 +24,8 @@
 constexpr runtime::duration first_read_delay = std::chrono::milliseconds(600);
 constexpr std::size_t watchers_per_domain = 2;
 constexpr std::size_t push_fan_out = 4;
+/// Reads of a starting node: the document and the VM list.
+constexpr double reads_per_start = 2;
 /// Part of the granted reads that starting and fallback reads may use.
 constexpr double fallback_share = 0.5;
 /// Least time between two requests for the whole document by a node that
@@ -70,7 +72,7 @@
         // The first read is spread over the fleet's share of the service, so
         // that a whole domain may start at once.
         const auto spread =
-            self->settings_.expected_nodes /
+            reads_per_start * self->settings_.expected_nodes /
             (fallback_share * self->settings_.service_reads_per_second);
         auto jitter = std::uniform_real_distribution<>(0, spread);
         const auto now = self->time_.now();
--- a/packages/node/src/owner_service.cpp
+++ b/packages/node/src/owner_service.cpp
@@ -43,7 +43,8 @@
 
 void owner_service::submit(policy::sub_request request, reply_handler reply)
 {
-    lane_of(request.target).submit(std::move(request), std::move(reply));
+    auto& lane = lane_of(request.target);
+    lane.submit(std::move(request), std::move(reply));
 }
 
 void owner_service::cancel(policy::request_id id, policy::upstream_id target)
--- a/packages/policy/src/admission_control.cpp
+++ b/packages/policy/src/admission_control.cpp
@@ -14,6 +14,10 @@
 constexpr double largest_decrease = 0.5;
 constexpr double smallest_decrease = 0.95;
 constexpr double increase = 1.05;
+/// Increase once several intervals in a row saw no congestion at all, as
+/// after an outage: the limit then lags behind what can be served.
+constexpr double calm_increase = 1.25;
+constexpr std::uint32_t calm_interval_count = 3;
 /// Queries per second that are always admitted, so that the state of an
 /// overloaded index is still observed.
 constexpr double min_rate = 2;
@@ -75,6 +79,7 @@
         closed.congested > tolerated_congestion * closed.finished;
     const auto offered_rate = closed.offered / seconds;
     if (is_congested) {
+        calm_intervals_ = 0;
         const auto current = limit_.value_or(closed.admitted / seconds);
         const auto wanted =
             std::clamp(answered_rate_ * smallest_decrease,
@@ -93,7 +98,9 @@
         limit_.reset();
         return;
     }
-    *limit_ *= increase;
+    calm_intervals_ = closed.congested == 0 ? calm_intervals_ + 1 : 0;
+    *limit_ *= calm_intervals_ >= calm_interval_count ? calm_increase
+                                                      : increase;
 }
 
 std::optional<double> admission_control::limit() const
--- a/packages/upstreams/src/upstream_client.cpp
+++ b/packages/upstreams/src/upstream_client.cpp
@@ -39,10 +39,10 @@
                                  write_check may_write, runtime::clock time,
                                  report_handler on_report,
                                  health_handler on_health)
-    : strand_(strand), time_(std::move(time)),
+    : strand_(std::move(strand)), time_(std::move(time)),
       description_(std::move(description)), max_connections_(max_connections),
       may_write_(std::move(may_write)), on_report_(std::move(on_report)),
-      on_health_(std::move(on_health)), health_timer_(std::move(strand))
+      on_health_(std::move(on_health)), health_timer_(strand_)
 {
 }
 
