policy: Let admission catch up after an outage

Cause: after every replica of a tenth of the shards was lost, admission had fallen to its least rate and needed 5 s to come back. Change: while three intervals in a row saw no congestion and the limit is below the best known rate, it rises by 25% per interval.

--- a/packages/document/tests/document_test.cpp
+++ b/packages/document/tests/document_test.cpp
@@ -81,8 +81,9 @@
     cr_assert(std::ranges::any_of(changes, is_reported),
               "no fault \"%s\" in section \"%s\"", message.c_str(),
               section.c_str());
-    cr_assert(state.digest() == before, "section \"%s\" did not keep its "
-                                        "last good revision",
+    cr_assert(state.digest() == before,
+              "section \"%s\" did not keep its "
+              "last good revision",
               section.c_str());
 }
 
@@ -101,8 +102,7 @@
     expect_fault("owner = t\nkind", "owner = nobody\nkind", "service s",
                  "does not exist");
     expect_fault("owner = t\nkind", "kind", "service s", "missing");
-    expect_fault("range = 0x80000000", "range = 0x90000000", "shard b",
-                 "hole");
+    expect_fault("range = 0x80000000", "range = 0x90000000", "shard b", "hole");
     expect_fault("range = 0x80000000", "range = 0x70000000", "shard b",
                  "overlap");
     expect_fault("[caller k]", "[class c]\nowner = t\n[caller k]", "class c",
@@ -226,12 +226,27 @@
 
 } // namespace
 
-Test(document, examples) { examples_have_the_sizes_of_today(); }
+Test(document, examples)
+{
+    examples_have_the_sizes_of_today();
+}
 Test(document, faults)
 {
     every_fault_is_reported_and_stops_only_its_section();
 }
-Test(document, isolation) { a_bad_edit_does_not_stop_another_section(); }
-Test(document, removal) { a_section_in_use_cannot_be_removed(); }
-Test(document, stale) { an_older_revision_has_no_effect(); }
-Test(document, never_back) { sections_never_go_back(); }
+Test(document, isolation)
+{
+    a_bad_edit_does_not_stop_another_section();
+}
+Test(document, removal)
+{
+    a_section_in_use_cannot_be_removed();
+}
+Test(document, stale)
+{
+    an_older_revision_has_no_effect();
+}
+Test(document, never_back)
+{
+    sections_never_go_back();
+}
--- a/packages/node/tests/wire_test.cpp
+++ b/packages/node/tests/wire_test.cpp
@@ -92,8 +92,8 @@
 {
     policy::sub_request request;
     request.range = {0, 10};
-    auto reply = transport::make_json(
-        http::status::ok, R"({"items":[{"key":1,"value":"x"}]})");
+    auto reply = transport::make_json(http::status::ok,
+                                      R"({"items":[{"key":1,"value":"x"}]})");
     // Without its headers a reply says neither version nor coverage.
     cr_assert(upstreams::decode_reply(request, reply).outcome ==
               policy::upstream_outcome::broken);
@@ -227,13 +227,43 @@
 
 } // namespace
 
-Test(caller_wire, queries) { queries_are_checked(); }
-Test(caller_wire, answers) { answers_state_their_coverage(); }
-Test(platform_wire, checked) { platform_answers_are_checked(); }
-Test(upstream_wire, checked) { upstream_replies_are_checked(); }
-Test(node_settings, faults) { settings_faults_name_section_and_key(); }
-Test(node_report, wire) { reports_survive_the_wire(); }
-Test(metrics, format) { metrics_have_the_exposition_format(); }
-Test(events, catalogue) { the_catalogue_of_events_is_complete(); }
-Test(audit_trail, bound) { the_audit_trail_is_bounded(); }
-Test(snapshot, whole) { snapshot_readers_see_whole_values(); }
+Test(caller_wire, queries)
+{
+    queries_are_checked();
+}
+Test(caller_wire, answers)
+{
+    answers_state_their_coverage();
+}
+Test(platform_wire, checked)
+{
+    platform_answers_are_checked();
+}
+Test(upstream_wire, checked)
+{
+    upstream_replies_are_checked();
+}
+Test(node_settings, faults)
+{
+    settings_faults_name_section_and_key();
+}
+Test(node_report, wire)
+{
+    reports_survive_the_wire();
+}
+Test(metrics, format)
+{
+    metrics_have_the_exposition_format();
+}
+Test(events, catalogue)
+{
+    the_catalogue_of_events_is_complete();
+}
+Test(audit_trail, bound)
+{
+    the_audit_trail_is_bounded();
+}
+Test(snapshot, whole)
+{
+    snapshot_readers_see_whole_values();
+}
--- a/packages/peers/src/membership.cpp
+++ b/packages/peers/src/membership.cpp
@@ -178,8 +178,8 @@
 void membership::exchange_members(runtime::time_point now)
 {
     const bool has_grown = others_.size() > exchanged_count_;
-    const auto interval = has_grown ? settings_.join_interval
-                                    : settings_.exchange_interval;
+    const auto interval =
+        has_grown ? settings_.join_interval : settings_.exchange_interval;
     if (now - exchanged_at_ < interval) {
         return;
     }
--- a/packages/peers/tests/membership_test.cpp
+++ b/packages/peers/tests/membership_test.cpp
@@ -39,12 +39,17 @@
                                     const peers::gossip_message& message) {
             send(number, to.port - 1000U, message);
         };
-        hooks.on_change = [] {};
-        hooks.on_transition = [](const peers::member&, member_state) {};
+        hooks.on_change = [] {
+        };
+        hooks.on_transition = [](const peers::member&, member_state) {
+        };
         hooks.on_other_digest = [](const peers::member&,
-                                   const peers::digest_summary&) {};
-        hooks.on_drain = [](const peers::drain_update&) {};
-        hooks.on_ack = [](runtime::time_point) {};
+                                   const peers::digest_summary&) {
+        };
+        hooks.on_drain = [](const peers::drain_update&) {
+        };
+        hooks.on_ack = [](runtime::time_point) {
+        };
         hooks.pull = [this, number](const peers::member& peer) {
             pull(number, peer.where.port - 1000U);
         };
@@ -268,15 +273,39 @@
 
 } // namespace
 
-Test(membership, dead) { a_dead_member_is_found_within_three_seconds(); }
-Test(membership, loss) { a_lossy_network_kills_nobody(); }
-Test(membership, pause) { a_paused_member_returns(); }
+Test(membership, dead)
+{
+    a_dead_member_is_found_within_three_seconds();
+}
+Test(membership, loss)
+{
+    a_lossy_network_kills_nobody();
+}
+Test(membership, pause)
+{
+    a_paused_member_returns();
+}
 Test(membership, partition)
 {
     a_healed_partition_has_one_view_within_five_seconds();
 }
-Test(membership, replaced) { a_replaced_member_is_one_member(); }
-Test(membership, leave) { a_leaving_member_owns_nothing_at_once(); }
-Test(membership, size) { datagrams_stay_small_in_a_large_fleet(); }
-Test(peer_codec, garbage) { garbage_is_not_a_message(); }
-Test(peer_codec, round_trip) { requests_survive_the_wire(); }
+Test(membership, replaced)
+{
+    a_replaced_member_is_one_member();
+}
+Test(membership, leave)
+{
+    a_leaving_member_owns_nothing_at_once();
+}
+Test(membership, size)
+{
+    datagrams_stay_small_in_a_large_fleet();
+}
+Test(peer_codec, garbage)
+{
+    garbage_is_not_a_message();
+}
+Test(peer_codec, round_trip)
+{
+    requests_survive_the_wire();
+}
--- a/packages/policy/include/tamarackhoist/policy/admission_control.hpp
+++ b/packages/policy/include/tamarackhoist/policy/admission_control.hpp
@@ -51,6 +51,8 @@
     std::optional<double> limit_;
     double tokens_ = 0;
     double answered_rate_ = 0;
+    /// Greatest smoothed rate of answers of the last minutes.
+    double best_rate_ = 0;
     std::uint32_t calm_intervals_ = 0;
 };
 
--- a/packages/policy/src/admission_control.cpp
+++ b/packages/policy/src/admission_control.cpp
@@ -18,6 +18,10 @@
 /// after an outage: the limit then lags behind what can be served.
 constexpr double calm_increase = 1.25;
 constexpr std::uint32_t calm_interval_count = 3;
+/// Part of the best known rate up to which the limit rises faster.
+constexpr double known_fraction = 0.9;
+/// Decay of the best known rate per interval.
+constexpr double best_rate_decay = 0.999;
 /// Queries per second that are always admitted, so that the state of an
 /// overloaded index is still observed.
 constexpr double min_rate = 2;
@@ -75,6 +79,7 @@
     counts_ = {};
     interval_start_ = now;
     answered_rate_ += smoothing * (closed.answered / seconds - answered_rate_);
+    best_rate_ = std::max(best_rate_ * best_rate_decay, answered_rate_);
     const bool is_congested =
         closed.congested > tolerated_congestion * closed.finished;
     const auto offered_rate = closed.offered / seconds;
@@ -99,8 +104,9 @@
         return;
     }
     calm_intervals_ = closed.congested == 0 ? calm_intervals_ + 1 : 0;
-    *limit_ *= calm_intervals_ >= calm_interval_count ? calm_increase
-                                                      : increase;
+    const bool lags = calm_intervals_ >= calm_interval_count &&
+                      *limit_ < known_fraction * best_rate_;
+    *limit_ *= lags ? calm_increase : increase;
 }
 
 std::optional<double> admission_control::limit() const
--- a/packages/policy/src/query_coordinator.cpp
+++ b/packages/policy/src/query_coordinator.cpp
@@ -279,8 +279,7 @@
         return;
     }
     const auto allowed_wait = runtime::from_seconds(
-        congested_fraction *
-        runtime::to_seconds(rank_description().deadline));
+        congested_fraction * runtime::to_seconds(rank_description().deadline));
     is_congested_ = reply.load.queue_delay > allowed_wait ||
                     reply.outcome == sub_outcome::shed ||
                     reply.reason == refusal::no_time ||
@@ -399,8 +398,8 @@
     if (each.is_settled || each.live_attempts > 0) {
         return;
     }
-    const bool is_overload = reply.reason == refusal::no_time ||
-                             reply.reason == refusal::queue_full;
+    const bool is_overload =
+        reply.reason == refusal::no_time || reply.reason == refusal::queue_full;
     each.overloads += is_overload ? 1 : 0;
     if (each.refusals > max_refusals) {
         return;
@@ -491,8 +490,7 @@
         }
         // A hedge accompanies an attempt; without one, the piece is tried
         // again as usual.
-        if (!each.hedge_at || *each.hedge_at > now ||
-            each.live_attempts == 0) {
+        if (!each.hedge_at || *each.hedge_at > now || each.live_attempts == 0) {
             continue;
         }
         each.hedge_at.reset();
--- a/packages/policy/src/replica_directory.cpp
+++ b/packages/policy/src/replica_directory.cpp
@@ -207,9 +207,9 @@
             continue;
         }
         const auto penalty = wanted.busy == replica ? busy_penalty : 1.0;
-        const candidate next{replica,
-                             std::pow(penalty * cost(*each, wanted.rank, wanted.now),
-                                      -preference_exponent)};
+        const candidate next{
+            replica, std::pow(penalty * cost(*each, wanted.rank, wanted.now),
+                              -preference_exponent)};
         const version_span served{each->version_low.load(relaxed),
                                   each->version_high.load(relaxed)};
         const bool lacks_version = wanted.version != 0 && served.high != 0 &&
--- a/packages/policy/tests/policy_test.cpp
+++ b/packages/policy/tests/policy_test.cpp
@@ -42,13 +42,13 @@
                 [this](const policy::sub_request& request) {
                     dispatched.push_back(request.id.serial);
                 },
-                [this](policy::request_id id) {
-                    aborted.push_back(id.serial);
-                },
+                [this](policy::request_id id) { aborted.push_back(id.serial); },
                 [this](policy::sub_reply reply) {
                     replies.push_back(std::move(reply));
                 },
-                [this](time_point) { return is_trusted; }});
+                [this](time_point) {
+                    return is_trusted;
+                }});
         owner->on_health({}, now);
     }
 
@@ -348,24 +348,63 @@
 
 } // namespace
 
-Test(upstream_owner, urgent_first) { urgent_work_goes_first(); }
-Test(upstream_owner, slot_left) { other_classes_leave_a_slot_free(); }
-Test(upstream_owner, share) { a_starved_class_gets_its_share(); }
-Test(upstream_owner, wakeup) { a_wakeup_makes_progress(); }
-Test(upstream_owner, hedge) { a_hedge_never_waits(); }
-Test(upstream_owner, drain) { a_drain_refuses_what_waits_and_what_comes(); }
+Test(upstream_owner, urgent_first)
+{
+    urgent_work_goes_first();
+}
+Test(upstream_owner, slot_left)
+{
+    other_classes_leave_a_slot_free();
+}
+Test(upstream_owner, share)
+{
+    a_starved_class_gets_its_share();
+}
+Test(upstream_owner, wakeup)
+{
+    a_wakeup_makes_progress();
+}
+Test(upstream_owner, hedge)
+{
+    a_hedge_never_waits();
+}
+Test(upstream_owner, drain)
+{
+    a_drain_refuses_what_waits_and_what_comes();
+}
 Test(upstream_owner, doubt)
 {
     nothing_starts_while_the_process_doubts_itself();
 }
-Test(upstream_owner, order) { a_running_order_is_never_aborted(); }
-Test(key_range_set, oracle) { range_sets_agree_with_bit_sets(); }
-Test(attempt_budget, bound) { a_budget_bounds_extra_attempts(); }
-Test(order_ledger, once) { a_ticket_runs_once_and_a_refusal_is_final(); }
-Test(order_ledger, forgotten) { a_forgotten_ticket_is_unknown(); }
-Test(ownership, movement) { only_the_upstreams_of_a_lost_node_move(); }
+Test(upstream_owner, order)
+{
+    a_running_order_is_never_aborted();
+}
+Test(key_range_set, oracle)
+{
+    range_sets_agree_with_bit_sets();
+}
+Test(attempt_budget, bound)
+{
+    a_budget_bounds_extra_attempts();
+}
+Test(order_ledger, once)
+{
+    a_ticket_runs_once_and_a_refusal_is_final();
+}
+Test(order_ledger, forgotten)
+{
+    a_forgotten_ticket_is_unknown();
+}
+Test(ownership, movement)
+{
+    only_the_upstreams_of_a_lost_node_move();
+}
 Test(ownership, connections)
 {
     believing_owners_stay_within_the_connection_limit();
 }
-Test(pause_guard, doubt) { a_pause_is_doubted_until_a_peer_answers(); }
+Test(pause_guard, doubt)
+{
+    a_pause_is_doubted_until_a_peer_answers();
+}
--- a/packages/replay/include/tamarackhoist/replay/fake_upstream.hpp
+++ b/packages/replay/include/tamarackhoist/replay/fake_upstream.hpp
@@ -20,9 +20,9 @@
 public:
     using report_hook = std::function<void(policy::upstream_report)>;
 
-    fake_upstream(policy::upstream description,
-                  runtime::duration mean_service, policy::key grid_step,
-                  std::uint64_t seed, runtime::virtual_scheduler& scheduler,
+    fake_upstream(policy::upstream description, runtime::duration mean_service,
+                  policy::key grid_step, std::uint64_t seed,
+                  runtime::virtual_scheduler& scheduler,
                   promise_ledger& ledger);
 
     /// Takes a request of caller request `number`. The hook is called once,
--- a/packages/replay/src/baseline_entry.cpp
+++ b/packages/replay/src/baseline_entry.cpp
@@ -80,9 +80,8 @@
                      // The reply counts for the whole range that was asked.
                      run->answer.version = report.version;
                      run->answer.answered.add(range);
-                     std::ranges::copy(
-                         report.items,
-                         std::back_inserter(run->answer.items));
+                     std::ranges::copy(report.items,
+                                       std::back_inserter(run->answer.items));
                  } else if (attempt < max_attempts && run->handle) {
                      send_part(number, run, range, shard, attempt + 1);
                      return;
@@ -108,17 +107,17 @@
         return;
     }
     const auto delay = fleet_.shape().link_time;
-    fleet_.scheduler().after(delay, [this, &fake, number, request, delay,
-                                     handle] {
-        fake.serve(number, request,
-                   [this, delay,
-                    handle](const policy::upstream_report& report) {
-                       fleet_.at_node(number_, delay, [this, handle, report] {
-                           fleet_.count_decision();
-                           handle(report);
-                       });
-                   });
-    });
+    fleet_.scheduler().after(
+        delay, [this, &fake, number, request, delay, handle] {
+            fake.serve(
+                number, request,
+                [this, delay, handle](const policy::upstream_report& report) {
+                    fleet_.at_node(number_, delay, [this, handle, report] {
+                        fleet_.count_decision();
+                        handle(report);
+                    });
+                });
+        });
 }
 
 void baseline_entry::run_order(std::size_t number, const policy::order& wanted,
@@ -126,12 +125,11 @@
 {
     auto once = std::make_shared<outcome_hook>(std::move(handle));
     try_order(number, wanted, 1, once);
-    fleet_.at_node(number_, wanted.deadline - fleet_.scheduler().now(),
-                   [once] {
-                       if (auto hook = std::exchange(*once, nullptr)) {
-                           hook({policy::order_status::unknown, {}, {}});
-                       }
-                   });
+    fleet_.at_node(number_, wanted.deadline - fleet_.scheduler().now(), [once] {
+        if (auto hook = std::exchange(*once, nullptr)) {
+            hook({policy::order_status::unknown, {}, {}});
+        }
+    });
 }
 
 void baseline_entry::try_order(std::size_t number, const policy::order& wanted,
--- a/packages/replay/src/fake_upstream.cpp
+++ b/packages/replay/src/fake_upstream.cpp
@@ -45,8 +45,7 @@
 void fake_upstream::serve(std::size_t number, policy::sub_request request,
                           report_hook report)
 {
-    if (is_draining_ &&
-        scheduler_.now() - draining_since_ > drain_grace) {
+    if (is_draining_ && scheduler_.now() - draining_since_ > drain_grace) {
         ledger_.on_late_drain_work();
     }
     if (backlog_.size() >= max_backlog) {
@@ -65,8 +64,8 @@
         auto next = std::move(backlog_.front());
         backlog_.pop_front();
         // A request of a version that is not served is not run.
-        const bool is_served = next.request.version == 0 ||
-                               next.request.version == version_;
+        const bool is_served =
+            next.request.version == 0 || next.request.version == version_;
         if (!is_served) {
             auto refused = make_report();
             refused.outcome = upstream_outcome::version_unavailable;
@@ -85,8 +84,8 @@
             --cold_requests_;
             factor *= cold_factor;
         }
-        const auto service = runtime::from_seconds(
-            runtime::to_seconds(mean_service_) * factor);
+        const auto service =
+            runtime::from_seconds(runtime::to_seconds(mean_service_) * factor);
         scheduler_.after(service, [this, incarnation = incarnation_,
                                    done = std::move(next)] {
             const bool is_current = incarnation == incarnation_ &&
@@ -136,9 +135,8 @@
 
 void fake_upstream::abort(policy::request_id id)
 {
-    std::erase_if(backlog_, [&](const job& each) {
-        return each.request.id == id;
-    });
+    std::erase_if(backlog_,
+                  [&](const job& each) { return each.request.id == id; });
     if (running_.erase(id) > 0) {
         start_next();
     }
--- a/packages/replay/src/measures.cpp
+++ b/packages/replay/src/measures.cpp
@@ -70,8 +70,8 @@
             return;
         }
         // A request without an answer counts with its deadline.
-        const auto end = is_answered_in_time(each) ? each.answered_at
-                                                   : each.deadline;
+        const auto end =
+            is_answered_in_time(each) ? each.answered_at : each.deadline;
         latencies.push_back(runtime::to_milliseconds(end - each.arrived_at));
     });
     if (latencies.empty()) {
@@ -100,8 +100,8 @@
     return over == 0 ? 0 : value / over;
 }
 
-using measure_function = std::function<double(
-    const trace&, const replay_result&, const outcome&)>;
+using measure_function =
+    std::function<double(const trace&, const replay_result&, const outcome&)>;
 
 double p99_ratio(const trace&, const replay_result& result,
                  const outcome& stated)
@@ -139,22 +139,23 @@
                   const outcome& stated)
 {
     const auto share = replayed.classes[stated.rank].guaranteed_share;
-    return ratio(answers_per_second(replayed, result, stated.rank, stated.window),
-                 share * replayed.capacity());
+    return ratio(
+        answers_per_second(replayed, result, stated.rank, stated.window),
+        share * replayed.capacity());
 }
 
 double goodput(const trace& replayed, const replay_result& result,
                const outcome& stated)
 {
-    return ratio(answers_per_second(replayed, result, std::nullopt, stated.window),
-                 replayed.capacity());
+    return ratio(
+        answers_per_second(replayed, result, std::nullopt, stated.window),
+        replayed.capacity());
 }
 
 double extra_load(const trace&, const replay_result& result, const outcome&)
 {
     const auto again = static_cast<double>(result.ledger.received_again());
-    return ratio(again,
-                 static_cast<double>(result.ledger.received()) - again);
+    return ratio(again, static_cast<double>(result.ledger.received()) - again);
 }
 
 double mean_coverage(const trace&, const replay_result& result,
@@ -185,10 +186,10 @@
             return;
         }
         count += 1;
-        refused += each.is_answered &&
-                           each.status == policy::query_status::not_run
-                       ? 1
-                       : 0;
+        refused +=
+            each.is_answered && each.status == policy::query_status::not_run
+                ? 1
+                : 0;
     });
     return ratio(refused, count);
 }
@@ -215,8 +216,7 @@
     // back. Shorter windows hold too few requests for a 99th percentile.
     auto rest = stated.window;
     while (rest.from < rest.until &&
-           tail_latency(result, stated.rank, rest) >
-               normal * recovered_ratio) {
+           tail_latency(result, stated.rank, rest) > normal * recovered_ratio) {
         rest.from += recovery_step;
     }
     return runtime::to_seconds(rest.from - stated.window.from);
@@ -231,8 +231,7 @@
 
 measure_function count_of(std::uint64_t promise_ledger::violations::*member)
 {
-    return [member](const trace&, const replay_result& result,
-                    const outcome&) {
+    return [member](const trace&, const replay_result& result, const outcome&) {
         return static_cast<double>(result.violations.*member);
     };
 }
--- a/packages/replay/src/promise_ledger.cpp
+++ b/packages/replay/src/promise_ledger.cpp
@@ -8,12 +8,9 @@
 using policy::order_status;
 using policy::query_status;
 
-promise_ledger::promise_ledger(policy::key grid_step) : grid_step_(grid_step)
-{
-}
+promise_ledger::promise_ledger(policy::key grid_step) : grid_step_(grid_step) {}
 
-std::size_t promise_ledger::add_request(policy::class_index rank,
-                                        bool is_order,
+std::size_t promise_ledger::add_request(policy::class_index rank, bool is_order,
                                         runtime::time_point arrived_at,
                                         runtime::time_point deadline,
                                         const policy::key_range_set& asked)
@@ -148,8 +145,7 @@
             ++found.refused_but_run;
         }
         // An order that was reported as run did run.
-        if (each.is_order && each.told == order_status::ran &&
-            each.runs == 0) {
+        if (each.is_order && each.told == order_status::ran && each.runs == 0) {
             ++found.coverage_wrong;
         }
     }
--- a/packages/replay/src/trace.cpp
+++ b/packages/replay/src/trace.cpp
@@ -82,8 +82,8 @@
         if (colon == std::string::npos) {
             throw line_error("\"" + key + "\" is not FROM:UNTIL");
         }
-        return {runtime::time_point(runtime::from_seconds(
-                    parse(key, value->substr(0, colon)))),
+        return {runtime::time_point(
+                    runtime::from_seconds(parse(key, value->substr(0, colon)))),
                 runtime::time_point(runtime::from_seconds(
                     parse(key, value->substr(colon + 1))))};
     }
@@ -160,8 +160,8 @@
 
 policy::class_index class_of(const trace& read, const std::string& name)
 {
-    const auto found = std::ranges::find(read.classes, name,
-                                         &policy::priority_class::name);
+    const auto found =
+        std::ranges::find(read.classes, name, &policy::priority_class::name);
     if (found == read.classes.end()) {
         throw line_error("class \"" + name + "\" does not exist");
     }
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -85,37 +85,42 @@
     cr_assert(has_status(each.exchange("POST /x HTTP/1.1\r\n"
                                        "Content-Length: 99999\r\n\r\n"),
                          "413"));
-    cr_assert(has_status(each.exchange("GET /" + std::string(5000, 'x') +
-                                       " HTTP/1.1\r\n\r\n"),
-                         "431"));
+    cr_assert(has_status(
+        each.exchange("GET /" + std::string(5000, 'x') + " HTTP/1.1\r\n\r\n"),
+        "431"));
     cr_assert(has_status(each.exchange("garbage\r\n\r\n"), "400"));
     cr_assert(each.exchange("POST /x HTTP/1.1\r\nContent-Le").empty());
     cr_assert_eq(each.requests.load(), 0);
     // The server still serves.
-    cr_assert(has_status(each.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-                         "200"));
+    cr_assert(
+        has_status(each.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), "200"));
 }
 
 void a_refused_connection_sends_nothing()
 {
     asio::io_context context;
     auto status = transport::exchange_status::answered;
-    transport::exchange_once(
-        context.get_executor(), {"127.0.0.1", 1},
-        transport::http_request(http::verb::get, "/", 11),
-        std::chrono::seconds(1),
-        [&](const transport::exchange_result& result) {
-            status = result.status;
-        });
+    transport::exchange_once(context.get_executor(), {"127.0.0.1", 1},
+                             transport::http_request(http::verb::get, "/", 11),
+                             std::chrono::seconds(1),
+                             [&](const transport::exchange_result& result) {
+                                 status = result.status;
+                             });
     context.run();
     cr_assert(status == transport::exchange_status::not_sent);
 }
 
 } // namespace
 
-Test(http_server, keep_alive) { requests_share_a_connection(); }
+Test(http_server, keep_alive)
+{
+    requests_share_a_connection();
+}
 Test(http_server, hostile)
 {
     oversized_and_malformed_requests_are_refused();
 }
-Test(http_connection, refused) { a_refused_connection_sends_nothing(); }
+Test(http_connection, refused)
+{
+    a_refused_connection_sends_nothing();
+}
--- a/packages/upstreams/include/tamarackhoist/upstreams/upstream_client.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/upstream_client.hpp
@@ -61,10 +61,9 @@
     using connection_pointer = std::shared_ptr<transport::http_connection>;
 
     upstream_client(boost::asio::any_io_executor strand,
-                    policy::upstream description,
-                    std::uint32_t max_connections, write_check may_write,
-                    runtime::clock time, report_handler on_report,
-                    health_handler on_health);
+                    policy::upstream description, std::uint32_t max_connections,
+                    write_check may_write, runtime::clock time,
+                    report_handler on_report, health_handler on_health);
 
     void open_connections_ahead();
     void open_connection();
--- a/scripts/break_policy.sh
+++ b/scripts/break_policy.sh
@@ -42,14 +42,16 @@
         grep -q 'Falsifiable' build/out && break
     done
     if grep -q 'Falsifiable' build/out; then
-        echo "$name | $(grep -m1 'RC_ASSERT' build/out) |" \
-            "$(grep -m1 Falsifiable build/out) |" \
-            "$(grep -c '{kind' build/out | sed 's/^0$/-/')"
-        grep -o '{kind [^}]*}' build/out | head -12 | wc -l
+        # A step prints as {kind ...}; shrunk cases are short.
+        steps=$( (grep -o '{kind [^}]*}' build/out || true) | wc -l)
+        echo "| $name | $(grep -m1 -o 'RC_ASSERT(.*' build/out) |" \
+            "$(grep -m1 -o 'after [0-9]* tests' build/out) | $steps |"
     else
         echo "$name: nothing noticed"
         missed=1
     fi
+    # A new time, so that the good file is built again.
     mv "$file.good" "$file"
+    touch "$file"
 done
 exit "$missed"
