--- a/packages/callers/src/caller_server.cpp
+++ b/packages/callers/src/caller_server.cpp
@@ -10,6 +10,18 @@
 namespace http = boost::beast::http;
 using transport::http_server;
 
+namespace
+{
+
+/// Refuses a malformed request and logs why.
+transport::http_response reject(const std::string& fault)
+{
+    runtime::log_event(runtime::event_number::caller_request_rejected, fault);
+    return encode_not_run(http::status::bad_request, fault);
+}
+
+} // namespace
+
 caller_server::caller_server(hooks actions) : actions_(std::move(actions))
 {
     assert(actions_.on_query && actions_.on_ticket && actions_.on_order &&
@@ -82,7 +94,7 @@
 {
     auto query = decode_query(request);
     if (!query) {
-        respond(encode_not_run(http::status::bad_request, query.error()));
+        respond(reject(query.error()));
         return;
     }
     const auto context = query.value().context;
@@ -102,7 +114,7 @@
 {
     const auto wanted = decode_ticket_request(request);
     if (!wanted) {
-        respond(encode_not_run(http::status::bad_request, wanted.error()));
+        respond(reject(wanted.error()));
         return;
     }
     if (auto refusal = refusal_of(wanted.value().context)) {
@@ -123,7 +135,7 @@
 {
     auto order = decode_order(request);
     if (!order) {
-        respond(encode_not_run(http::status::bad_request, order.error()));
+        respond(reject(order.error()));
         return;
     }
     const auto context = order.value().context;
--- a/packages/node/include/tamarackhoist/node/node.hpp
+++ b/packages/node/include/tamarackhoist/node/node.hpp
@@ -85,6 +85,7 @@
     std::unique_ptr<boost::asio::steady_timer> tick_timer_;
     std::unique_ptr<boost::asio::steady_timer> shutdown_timer_;
     std::atomic<bool> is_leaving_{false};
+    std::atomic<bool> has_document_{false};
 };
 
 } // namespace tamarackhoist::node
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -55,6 +55,9 @@
 {
     cluster_.on_change([this](const cluster_view_pointer& view) {
         links_.set_view(*view);
+        if (view->deployment && !has_document_.exchange(true)) {
+            runtime::log_event(event_number::node_ready, settings_.name);
+        }
         if (view->deployment) {
             entries_.context().directory().set_deployment(*view->deployment);
         }
--- a/packages/node/src/owner_lane.cpp
+++ b/packages/node/src/owner_lane.cpp
@@ -93,6 +93,8 @@
                            const policy::deployment& described_by)
 {
     const auto target = described.id;
+    runtime::log_event(runtime::event_number::ownership_changed,
+                       "took over upstream " + described.name);
     auto& added = owned_[target];
     auto self = shared_from_this();
     added.client = upstreams::upstream_client::create(
@@ -153,6 +155,9 @@
 {
     auto* each = find(target);
     each->is_released = true;
+    runtime::log_event(runtime::event_number::ownership_changed,
+                       "handed over upstream " +
+                           each->owner->description().name);
     each->owner->refuse_queued(policy::refusal::not_owner, time_.now());
     each->client->stop();
     erase_if_idle(target);
--- a/packages/peers/src/peer_link.cpp
+++ b/packages/peers/src/peer_link.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <tamarackhoist/runtime/event.hpp>
 #include <utility>
 
 namespace tamarackhoist::peers
@@ -85,6 +86,8 @@
     is_connecting_ = false;
     if (!is_connected || is_closed_) {
         channel_.reset();
+        runtime::log_event(runtime::event_number::peer_connection_failed,
+                           where_.to_text());
         fail_pending();
         return;
     }
--- a/packages/replay/include/tamarackhoist/replay/world.hpp
+++ b/packages/replay/include/tamarackhoist/replay/world.hpp
@@ -111,6 +111,7 @@
 
     [[nodiscard]] static policy::key_range_set key_range_set_of_everything();
     void build_deployment();
+    [[nodiscard]] policy::deployment_pointer make_deployment() const;
     void build_upstreams(std::uint64_t seed);
     void schedule_arrivals(const arrivals& work, double capacity,
                            std::uint64_t seed);
--- a/packages/replay/include/tamarackhoist/replay/world_node.hpp
+++ b/packages/replay/include/tamarackhoist/replay/world_node.hpp
@@ -75,14 +75,13 @@
         std::uint32_t connections = 0;
         bool is_released = false;
     };
-    struct query_run {
-        std::unique_ptr<policy::query_coordinator> coordinator;
-        std::optional<runtime::time_point> armed_for;
-    };
-    struct order_run {
-        std::unique_ptr<policy::order_coordinator> coordinator;
+    template <typename Coordinator>
+    struct coordinator_run {
+        std::unique_ptr<Coordinator> coordinator;
         std::optional<runtime::time_point> armed_for;
     };
+    using query_run = coordinator_run<policy::query_coordinator>;
+    using order_run = coordinator_run<policy::order_coordinator>;
     struct open_call {
         std::size_t number;
         std::size_t owner;
@@ -93,8 +92,9 @@
                bool is_order);
     void on_reply(const policy::sub_reply& reply);
     void fail_call(policy::request_id id, bool was_sent);
-    void arm_query(std::size_t number);
-    void arm_order(std::size_t number);
+    /// Schedules the next timer of one query or order.
+    template <typename Run>
+    void arm(std::map<std::size_t, Run>& runs, std::size_t number);
     void arm_owner(policy::upstream_id target);
     void take_over(const policy::upstream& described);
     [[nodiscard]] bool may_start(runtime::time_point at);
--- a/packages/replay/src/world.cpp
+++ b/packages/replay/src/world.cpp
@@ -137,6 +137,11 @@
     }
     shards_.push_back(std::move(orders));
 
+    deployment_ = make_deployment();
+}
+
+policy::deployment_pointer world::make_deployment() const
+{
     policy::deployment::builder builder;
     builder.epoch(epoch_);
     for (const auto& each : classes_) {
@@ -148,7 +153,7 @@
     for (const auto& each : shards_) {
         builder.add(each);
     }
-    deployment_ = builder.build();
+    return builder.build();
 }
 
 void world::build_upstreams(std::uint64_t seed)
@@ -532,18 +537,8 @@
     added.range = moved;
     shards_.push_back(added);
 
-    policy::deployment::builder builder;
-    builder.epoch(++epoch_);
-    for (const auto& each : classes_) {
-        builder.add(each);
-    }
-    for (const auto& each : described_) {
-        builder.add(each);
-    }
-    for (const auto& each : shards_) {
-        builder.add(each);
-    }
-    publish(builder.build());
+    ++epoch_;
+    publish(make_deployment());
 }
 
 void world::publish(policy::deployment_pointer next)
--- a/packages/replay/src/world_node.cpp
+++ b/packages/replay/src/world_node.cpp
@@ -97,13 +97,14 @@
                           .build();
     fleet_.count_decision();
     run.coordinator->start(now());
-    arm_query(number);
+    arm(queries_, number);
 }
 
-void world_node::arm_query(std::size_t number)
+template <typename Run>
+void world_node::arm(std::map<std::size_t, Run>& runs, std::size_t number)
 {
-    const auto found = queries_.find(number);
-    if (found == queries_.end()) {
+    const auto found = runs.find(number);
+    if (found == runs.end()) {
         return;
     }
     auto& run = found->second;
@@ -112,15 +113,15 @@
         return;
     }
     run.armed_for = next;
-    fleet_.at_node(number_, *next - now(), [this, number] {
-        const auto due = queries_.find(number);
-        if (due == queries_.end()) {
+    fleet_.at_node(number_, *next - now(), [this, &runs, number] {
+        const auto due = runs.find(number);
+        if (due == runs.end()) {
             return;
         }
         due->second.armed_for.reset();
         fleet_.count_decision();
         due->second.coordinator->on_timer(now());
-        arm_query(number);
+        arm(runs, number);
     });
 }
 
@@ -181,14 +182,14 @@
         const auto run = orders_.find(call.number);
         if (run != orders_.end()) {
             run->second.coordinator->on_reply(reply, now());
-            arm_order(call.number);
+            arm(orders_, call.number);
         }
         return;
     }
     const auto run = queries_.find(call.number);
     if (run != queries_.end()) {
         run->second.coordinator->on_reply(reply, now());
-        arm_query(call.number);
+        arm(queries_, call.number);
     }
 }
 
@@ -272,31 +273,7 @@
         next_seed_++);
     fleet_.count_decision();
     run.coordinator->start(now());
-    arm_order(number);
-}
-
-void world_node::arm_order(std::size_t number)
-{
-    const auto found = orders_.find(number);
-    if (found == orders_.end()) {
-        return;
-    }
-    auto& run = found->second;
-    const auto next = run.coordinator->next_timer();
-    if (!next || (run.armed_for && *run.armed_for <= *next)) {
-        return;
-    }
-    run.armed_for = next;
-    fleet_.at_node(number_, *next - now(), [this, number] {
-        const auto due = orders_.find(number);
-        if (due == orders_.end()) {
-            return;
-        }
-        due->second.armed_for.reset();
-        fleet_.count_decision();
-        due->second.coordinator->on_timer(now());
-        arm_order(number);
-    });
+    arm(orders_, number);
 }
 
 // Owner side.
--- a/packages/upstreams/src/upstream_client.cpp
+++ b/packages/upstreams/src/upstream_client.cpp
@@ -86,6 +86,10 @@
         return;
     }
     --connection_count_;
+    if (connection_count_ == 0) {
+        runtime::log_event(runtime::event_number::upstream_unreachable,
+                           description_.name);
+    }
     // Requests wait only as long as some connection may still serve them.
     if (connecting_ > 0 || !idle_.empty() || !busy_.empty()) {
         return;
