node: Name the live peers once, and drop an argument that never varied

Change: live_peers serves both; fail_call always reports a failed call; a check before setting a flag to true is gone. Behaviour is unchanged.

--- a/packages/node/src/configuration_service.cpp
+++ b/packages/node/src/configuration_service.cpp
@@ -51,6 +51,19 @@
     return {digest.revision, digest.hash};
 }
 
+/// Returns the members other than `own_name` that are not believed dead.
+std::vector<peers::member> live_peers(const cluster_view& view,
+                                      const std::string& own_name)
+{
+    std::vector<peers::member> live;
+    for (const auto& [id, each] : view.members) {
+        if (each.name != own_name && each.state != peers::member_state::dead) {
+            live.push_back(each);
+        }
+    }
+    return live;
+}
+
 } // namespace
 
 configuration_service::configuration_service(
@@ -199,9 +212,7 @@
     }
     each.revision = value.revision;
     const auto made = state_.apply(key, value.text, value.revision);
-    if (!is_confirmed_) {
-        is_confirmed_ = true;
-    }
+    is_confirmed_ = true;
     on_changes(made);
     push(made);
 }
@@ -285,14 +296,7 @@
 
 void configuration_service::ask_some_peer()
 {
-    const auto view = cluster_.view();
-    std::vector<peers::member> live;
-    for (const auto& [id, each] : view->members) {
-        if (each.name != settings_.name &&
-            each.state != peers::member_state::dead) {
-            live.push_back(each);
-        }
-    }
+    const auto live = live_peers(*cluster_.view(), settings_.name);
     if (live.empty()) {
         return;
     }
@@ -391,13 +395,7 @@
         return;
     }
     const auto message = peers::encode_sections(sections);
-    std::vector<peers::member> live;
-    for (const auto& [id, each] : cluster_.view()->members) {
-        if (each.name != settings_.name &&
-            each.state != peers::member_state::dead) {
-            live.push_back(each);
-        }
-    }
+    auto live = live_peers(*cluster_.view(), settings_.name);
     std::ranges::shuffle(live, random_);
     if (live.size() > push_fan_out) {
         live.erase(live.begin() + push_fan_out, live.end());
--- a/packages/replay/include/tamarackhoist/replay/world_node.hpp
+++ b/packages/replay/include/tamarackhoist/replay/world_node.hpp
@@ -91,7 +91,7 @@
     void route(std::size_t number, const policy::sub_request& request,
                bool is_order);
     void on_reply(const policy::sub_reply& reply);
-    void fail_call(policy::request_id id, bool was_sent);
+    void fail_call(policy::request_id id);
     /// Schedules the next timer of one query or order.
     template <typename Run>
     void arm(std::map<std::size_t, Run>& runs, std::size_t number);
--- a/packages/replay/src/world_node.cpp
+++ b/packages/replay/src/world_node.cpp
@@ -141,8 +141,7 @@
             fleet_.node(to).submit(number_, number, request, sent_at);
         },
         [this, id] {
-            fleet_.at_node(number_, reset_delay,
-                           [this, id] { fail_call(id, true); });
+            fleet_.at_node(number_, reset_delay, [this, id] { fail_call(id); });
         });
 }
 
@@ -156,16 +155,15 @@
     }
     std::ranges::sort(lost);
     for (const auto& id : lost) {
-        fail_call(id, true);
+        fail_call(id);
     }
 }
 
-void world_node::fail_call(policy::request_id id, bool was_sent)
+void world_node::fail_call(policy::request_id id)
 {
     policy::sub_reply reply;
     reply.id = id;
-    reply.outcome =
-        was_sent ? policy::sub_outcome::failed : policy::sub_outcome::not_run;
+    reply.outcome = policy::sub_outcome::failed;
     on_reply(reply);
 }
 
