gateway: Serve the whole path on the users' platform

Change: routes, upstream registrations, replica choice, hedges, retries and the budget of extra attempts are decided in policy; callers and upstreams get a connection each that parses with Beast; platform/ decodes the store's JSON and names the headers; deploy/system.toml builds the gateway role, and its settings are rendered into the house's INI by a template. Ruled out: owners per upstream for now, since today's connection limits allow each node 2 of 25.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -11,6 +11,9 @@
 
 # Adds one Criterion test binary and registers it with ctest.
 function(tamarackhoist_test name)
+    if(NOT TAMARACKHOIST_TESTS)
+        return()
+    endif()
     add_executable(${name} tests/${name}.cpp)
     target_link_libraries(${name} PRIVATE ${ARGN} ${CRITERION_LIBRARY}
                           Threads::Threads)
--- /dev/null
+++ b/packages/callers/include/tamarackhoist/callers/forward_server.hpp
@@ -0,0 +1,86 @@
+#ifndef TAMARACKHOIST_CALLERS_FORWARD_SERVER_HPP
+#define TAMARACKHOIST_CALLERS_FORWARD_SERVER_HPP
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <tamarackhoist/callers/forward_exchange.hpp>
+#include <tamarackhoist/policy/routing_table.hpp>
+#include <tamarackhoist/runtime/clock.hpp>
+#include <tamarackhoist/runtime/result.hpp>
+#include <tamarackhoist/transport/endpoint.hpp>
+#include <unordered_set>
+
+namespace tamarackhoist::callers
+{
+
+class caller_connection;
+
+/// HTTP/1.1 server for requests that are passed on unchanged. Requests of
+/// one connection are answered in order. All calls and handlers run on the
+/// thread of the `io_context`.
+class forward_server : public std::enable_shared_from_this<forward_server>
+{
+public:
+    using handler = std::function<void(std::shared_ptr<forward_exchange>)>;
+    /// Returns the limits in force.
+    using limits_source = std::function<policy::request_limits()>;
+
+    struct options {
+        transport::endpoint where;
+        std::size_t max_connections = 3000;
+    };
+
+    /// Listens on the address of `options`; an error names it.
+    [[nodiscard]] static runtime::result<std::shared_ptr<forward_server>,
+                                         std::string>
+    create(boost::asio::io_context& context, runtime::clock clock,
+           options options, limits_source limits, handler handle);
+
+    void start();
+
+    /// From now on each answer tells the caller that its connection closes.
+    void start_draining() { is_draining_ = true; }
+
+    /// Stops to accept connections and closes those without a request.
+    void close_idle();
+
+    [[nodiscard]] bool is_draining() const { return is_draining_; }
+    [[nodiscard]] std::size_t requests_in_flight() const
+    {
+        return in_flight_;
+    }
+    [[nodiscard]] std::size_t connection_count() const
+    {
+        return connections_.size();
+    }
+    [[nodiscard]] std::uint16_t port() const;
+
+private:
+    friend class caller_connection;
+
+    forward_server(boost::asio::io_context& context, runtime::clock clock,
+                   options options, limits_source limits, handler handle,
+                   boost::asio::ip::tcp::acceptor acceptor);
+
+    void accept();
+
+    boost::asio::io_context& context_;
+    const runtime::clock clock_;
+    const options options_;
+    const limits_source limits_;
+    const handler handle_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer accept_pause_;
+    std::unordered_set<std::shared_ptr<caller_connection>> connections_;
+    std::size_t in_flight_ = 0;
+    bool is_draining_ = false;
+};
+
+} // namespace tamarackhoist::callers
+
+#endif
--- /dev/null
+++ b/packages/callers/src/caller_connection.cpp
@@ -0,0 +1,335 @@
+#include "caller_connection.hpp"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <tamarackhoist/runtime/event.hpp>
+
+namespace tamarackhoist::callers
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr std::size_t read_chunk = 16 * 1024;
+/// Bytes of later requests that are kept while one is answered.
+constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_timeout = 408;
+constexpr unsigned status_body_too_large = 413;
+constexpr unsigned status_header_too_large = 431;
+
+/// Buffer for reads; its content is consumed within the read's handler.
+std::array<char, read_chunk>& read_buffer()
+{
+    static std::array<char, read_chunk> buffer;
+    return buffer;
+}
+
+} // namespace
+
+/// The request of a connection that is being answered. Holds no state of its
+/// own, so that an answer after the caller's departure has no effect.
+class caller_connection::exchange : public forward_exchange
+{
+public:
+    exchange(std::shared_ptr<caller_connection> connection,
+             runtime::time_point received_at)
+        : connection_(std::move(connection)), received_at_(received_at),
+          serial_(connection_->request_count_)
+    {
+    }
+
+    const transport::http_request& request() const override
+    {
+        return connection_->request_;
+    }
+
+    runtime::time_point received_at() const override { return received_at_; }
+
+    bool is_first_on_connection() const override { return serial_ == 1; }
+
+    void respond(forward_answer answer) override
+    {
+        if (connection_->state_ == state::handling &&
+            connection_->request_count_ == serial_) {
+            connection_->respond(std::move(answer));
+        }
+    }
+
+    void on_abandoned(std::function<void()> handle) override
+    {
+        connection_->abandoned_ = std::move(handle);
+    }
+
+private:
+    const std::shared_ptr<caller_connection> connection_;
+    const runtime::time_point received_at_;
+    const std::uint64_t serial_;
+};
+
+caller_connection::caller_connection(std::shared_ptr<forward_server> server,
+                                     tcp::socket socket)
+    : server_(std::move(server)), socket_(std::move(socket)),
+      timer_(socket_.get_executor())
+{
+}
+
+void caller_connection::start()
+{
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    begin_request();
+    read();
+}
+
+bool caller_connection::is_idle() const
+{
+    return state_ == state::reading && !has_partial_request_;
+}
+
+void caller_connection::begin_request()
+{
+    limits_ = server_->limits_();
+    state_ = state::reading;
+    has_partial_request_ = false;
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    parser_->body_limit(limits_.max_body_bytes);
+    parser_->eager(true);
+    arm_timer(limits_.idle_timeout);
+}
+
+void caller_connection::read()
+{
+    if (is_reading_ || state_ == state::closed) {
+        return;
+    }
+    is_reading_ = true;
+    auto self = shared_from_this();
+    socket_.async_read_some(asio::buffer(read_buffer()),
+                            [self](error_code error, std::size_t size) {
+                                self->is_reading_ = false;
+                                self->read_ended(error, size);
+                            });
+}
+
+void caller_connection::read_ended(error_code error, std::size_t size)
+{
+    if (state_ == state::closed) {
+        return;
+    }
+    if (error) {
+        abandon();
+        return;
+    }
+    unparsed_.append(read_buffer().data(), size);
+    if (state_ == state::reading) {
+        parse();
+    }
+    if (unparsed_.size() < max_pipelined_bytes) {
+        read();
+    }
+}
+
+void caller_connection::parse()
+{
+    while (state_ == state::reading && !unparsed_.empty()) {
+        if (!has_partial_request_) {
+            has_partial_request_ = true;
+            arm_timer(limits_.header_timeout);
+        }
+        const bool had_header = parser_->is_header_done();
+        error_code error;
+        const auto used = parser_->put(asio::buffer(unparsed_), error);
+        unparsed_.erase(0, used);
+        if (!had_header && parser_->is_header_done()) {
+            arm_timer(limits_.idle_timeout);
+        }
+        if (error == http::error::need_more) {
+            return;
+        }
+        if (error == http::error::header_limit) {
+            reject(status_header_too_large, "Request Header Fields Too Large");
+            return;
+        }
+        if (error == http::error::body_limit) {
+            reject(status_body_too_large, "Payload Too Large");
+            return;
+        }
+        if (error) {
+            reject(status_bad_request, "Bad Request");
+            return;
+        }
+        if (parser_->is_done()) {
+            request_complete();
+            return;
+        }
+        if (used == 0) {
+            return;
+        }
+    }
+}
+
+void caller_connection::request_complete()
+{
+    timer_.cancel();
+    state_ = state::handling;
+    ++request_count_;
+    ++server_->in_flight_;
+    request_ = parser_->release();
+    closes_after_answer_ = !request_.keep_alive();
+    const auto now = server_->clock_.now();
+    server_->handle_(std::make_shared<exchange>(shared_from_this(), now));
+}
+
+void caller_connection::reject(unsigned status, std::string reason)
+{
+    runtime::log_event(runtime::event_number::caller_request_rejected,
+                       reason);
+    timer_.cancel();
+    state_ = state::handling;
+    ++server_->in_flight_;
+    ++request_count_;
+    closes_after_answer_ = true;
+    unparsed_.clear();
+    request_ = {};
+    respond({status, std::move(reason), {}, {}});
+}
+
+std::string caller_connection::serialize(const forward_answer& answer,
+                                         bool keep_alive) const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " +
+                       answer.reason + "\r\n";
+    for (const auto& field : answer.fields) {
+        text.append(field.name).append(": ").append(field.value);
+        text.append("\r\n");
+    }
+    if (!keep_alive) {
+        text.append("Connection: close\r\n");
+    }
+    text.append("Content-Length: ")
+        .append(std::to_string(answer.body.size()))
+        .append("\r\n\r\n");
+    if (request_.method() != http::verb::head) {
+        text.append(answer.body);
+    }
+    return text;
+}
+
+void caller_connection::respond(forward_answer answer)
+{
+    abandoned_ = nullptr;
+    state_ = state::writing;
+    closes_after_answer_ = closes_after_answer_ || server_->is_draining();
+    output_ = serialize(answer, !closes_after_answer_);
+    written_ = 0;
+    write();
+}
+
+void caller_connection::write()
+{
+    error_code error;
+    written_ += socket_.write_some(
+        asio::buffer(output_) + written_, error);
+    if (error && error != asio::error::would_block) {
+        abandon();
+        return;
+    }
+    if (written_ == output_.size()) {
+        write_ended();
+        return;
+    }
+    arm_timer(limits_.idle_timeout);
+    auto self = shared_from_this();
+    asio::async_write(socket_, asio::buffer(output_) + written_,
+                      [self](error_code write_error, std::size_t) {
+                          if (self->state_ != state::writing) {
+                              return;
+                          }
+                          if (write_error) {
+                              self->abandon();
+                              return;
+                          }
+                          self->write_ended();
+                      });
+}
+
+void caller_connection::write_ended()
+{
+    --server_->in_flight_;
+    output_.clear();
+    if (closes_after_answer_) {
+        error_code ignored;
+        // The rest of the caller's bytes is read, so that the close does not
+        // reset the connection under the answer.
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        unparsed_.clear();
+        arm_timer(limits_.header_timeout);
+        read();
+        return;
+    }
+    begin_request();
+    if (!unparsed_.empty()) {
+        parse();
+    }
+    read();
+}
+
+void caller_connection::arm_timer(runtime::duration delay)
+{
+    auto self = shared_from_this();
+    timer_.expires_after(delay);
+    timer_.async_wait([self](error_code error) {
+        if (!error) {
+            self->time_out();
+        }
+    });
+}
+
+void caller_connection::time_out()
+{
+    if (state_ == state::reading && has_partial_request_) {
+        reject(status_timeout, "Request Timeout");
+        return;
+    }
+    if (state_ == state::reading || state_ == state::writing) {
+        abandon();
+    }
+}
+
+void caller_connection::abandon()
+{
+    const auto abandoned = std::exchange(abandoned_, nullptr);
+    if (state_ == state::handling ||
+        (state_ == state::writing && !output_.empty())) {
+        --server_->in_flight_;
+    }
+    close();
+    if (abandoned != nullptr) {
+        abandoned();
+    }
+}
+
+void caller_connection::close()
+{
+    if (state_ == state::closed) {
+        return;
+    }
+    state_ = state::closed;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    server_->connections_.erase(shared_from_this());
+}
+
+} // namespace tamarackhoist::callers
--- /dev/null
+++ b/packages/callers/src/forward_server.cpp
@@ -0,0 +1,113 @@
+#include <tamarackhoist/callers/forward_server.hpp>
+
+#include "caller_connection.hpp"
+#include <tamarackhoist/runtime/event.hpp>
+
+namespace tamarackhoist::callers
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Pause after a failed accept, which means that descriptors are short.
+constexpr runtime::duration accept_pause = std::chrono::milliseconds(50);
+
+} // namespace
+
+runtime::result<std::shared_ptr<forward_server>, std::string>
+forward_server::create(asio::io_context& context, runtime::clock clock,
+                       options options, limits_source limits, handler handle)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(options.where.address, error);
+    if (error) {
+        return "cannot listen on " + options.where.to_text() + ": " +
+               error.message();
+    }
+    const tcp::endpoint where(address, options.where.port);
+    tcp::acceptor acceptor(context);
+    acceptor.open(where.protocol(), error);
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(where, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return "cannot listen on " + options.where.to_text() + ": " +
+               error.message();
+    }
+    return std::shared_ptr<forward_server>(new forward_server(
+        context, std::move(clock), std::move(options), std::move(limits),
+        std::move(handle), std::move(acceptor)));
+}
+
+forward_server::forward_server(asio::io_context& context, runtime::clock clock,
+                               options options, limits_source limits,
+                               handler handle, tcp::acceptor acceptor)
+    : context_(context), clock_(std::move(clock)),
+      options_(std::move(options)), limits_(std::move(limits)),
+      handle_(std::move(handle)), acceptor_(std::move(acceptor)),
+      accept_pause_(context)
+{
+}
+
+void forward_server::start()
+{
+    accept();
+}
+
+std::uint16_t forward_server::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
+void forward_server::accept()
+{
+    auto self = shared_from_this();
+    acceptor_.async_accept([self](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            runtime::log_event(runtime::event_number::caller_request_rejected,
+                               "cannot accept: " + error.message());
+            self->accept_pause_.expires_after(accept_pause);
+            self->accept_pause_.async_wait([self](error_code timer_error) {
+                if (!timer_error) {
+                    self->accept();
+                }
+            });
+            return;
+        }
+        if (self->connections_.size() < self->options_.max_connections) {
+            const auto connection =
+                std::make_shared<caller_connection>(self, std::move(socket));
+            self->connections_.insert(connection);
+            connection->start();
+        }
+        self->accept();
+    });
+}
+
+void forward_server::close_idle()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+    const std::vector<std::shared_ptr<caller_connection>> connections(
+        connections_.begin(), connections_.end());
+    for (const auto& connection : connections) {
+        if (connection->is_idle()) {
+            connection->close();
+        }
+    }
+}
+
+} // namespace tamarackhoist::callers
--- /dev/null
+++ b/packages/node/src/forward_message.cpp
@@ -0,0 +1,187 @@
+#include "forward_message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <charconv>
+#include <tamarackhoist/policy/record_merge.hpp>
+
+namespace tamarackhoist::node
+{
+
+namespace http = boost::beast::http;
+using boost::algorithm::iequals;
+using callers::forward_answer;
+using policy::attempt_result;
+
+namespace
+{
+
+constexpr unsigned status_misdirected = 421;
+
+/// Fields that concern one connection, or that are set anew.
+constexpr std::array hop_fields{
+    http::field::connection,        http::field::keep_alive,
+    http::field::proxy_connection,  http::field::te,
+    http::field::trailer,           http::field::transfer_encoding,
+    http::field::upgrade,           http::field::expect,
+    http::field::content_length,    http::field::proxy_authenticate,
+    http::field::proxy_authorization};
+
+/// Returns the names of fields that the message declares to concern only
+/// this connection.
+std::vector<std::string> connection_options(const http::fields& message)
+{
+    std::vector<std::string> names;
+    const auto field = message.find(http::field::connection);
+    if (field == message.end()) {
+        return names;
+    }
+    const std::string value(field->value().data(), field->value().size());
+    boost::algorithm::split(names, value,
+                            [](char character) { return character == ','; });
+    for (auto& name : names) {
+        boost::algorithm::trim(name);
+    }
+    return names;
+}
+
+bool is_passed_on(const http::fields::value_type& field,
+                  std::span<const std::string> dropped)
+{
+    if (std::find(hop_fields.begin(), hop_fields.end(), field.name()) !=
+        hop_fields.end()) {
+        return false;
+    }
+    return std::none_of(dropped.begin(), dropped.end(),
+                        [&](const std::string& name) {
+                            return iequals(name, field.name_string());
+                        });
+}
+
+bool has_digest(const transport::http_response& response,
+                const forward_fields& fields)
+{
+    const auto field = response.find(fields.digest);
+    return field != response.end() && !field->value().empty();
+}
+
+std::string to_text(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+std::string make_request_head(const transport::http_request& request,
+                              const forward_fields& fields)
+{
+    std::string head;
+    head.append(to_text(request.method_string()));
+    head.append(" ");
+    head.append(to_text(request.target()));
+    head.append(" HTTP/1.1\r\n");
+    auto dropped = connection_options(request);
+    dropped.push_back(fields.time_left_ms);
+    dropped.push_back(fields.expected_upstream);
+    for (const auto& field : request) {
+        if (!is_passed_on(field, dropped)) {
+            continue;
+        }
+        head.append(to_text(field.name_string())).append(": ");
+        head.append(to_text(field.value())).append("\r\n");
+    }
+    const bool has_body = !request.body().empty() ||
+                          request.find(http::field::content_length) !=
+                              request.end() ||
+                          request.chunked();
+    if (has_body) {
+        head.append("Content-Length: ");
+        head.append(std::to_string(request.body().size())).append("\r\n");
+    }
+    return head;
+}
+
+std::optional<runtime::duration>
+read_time_left(const transport::http_request& request,
+               const forward_fields& fields)
+{
+    const auto field = request.find(fields.time_left_ms);
+    if (field == request.end()) {
+        return std::nullopt;
+    }
+    const auto value = field->value();
+    std::uint32_t milliseconds = 0;
+    const auto* end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, milliseconds);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(milliseconds);
+}
+
+attempt_result classify(const transport::http_response& response,
+                        const forward_fields& fields, bool is_fan_out)
+{
+    const auto status = response.result_int();
+    if (status == status_misdirected ||
+        response.find(fields.not_executed) != response.end()) {
+        return attempt_result::not_executed;
+    }
+    if (!has_digest(response, fields)) {
+        // Not the word of the upstream's application; it may have run.
+        return attempt_result::broken;
+    }
+    const auto kind = http::to_status_class(response.result());
+    if (kind == http::status_class::successful) {
+        return attempt_result::answered;
+    }
+    if (is_fan_out || kind == http::status_class::server_error) {
+        return attempt_result::failed;
+    }
+    return attempt_result::answered;
+}
+
+forward_answer make_answer(const transport::http_response& response)
+{
+    forward_answer answer;
+    answer.status = response.result_int();
+    answer.reason = to_text(response.reason());
+    const auto dropped = connection_options(response);
+    for (const auto& field : response) {
+        if (is_passed_on(field, dropped)) {
+            answer.fields.push_back(
+                {to_text(field.name_string()), to_text(field.value())});
+        }
+    }
+    answer.body = response.body();
+    return answer;
+}
+
+forward_answer
+make_merged_answer(std::span<const transport::http_response* const> parts,
+                   std::size_t missing, std::size_t top_records,
+                   const forward_fields& fields)
+{
+    std::string digests;
+    std::vector<std::string_view> bodies;
+    bodies.reserve(parts.size());
+    for (const auto* part : parts) {
+        if (!digests.empty()) {
+            digests.append(", ");
+        }
+        digests.append(to_text((*part)[fields.digest]));
+        bodies.emplace_back(part->body());
+    }
+    forward_answer answer;
+    answer.status = static_cast<unsigned>(http::status::ok);
+    answer.reason = "OK";
+    answer.fields.push_back({fields.shard_digests, std::move(digests)});
+    answer.fields.push_back({fields.missing_shards, std::to_string(missing)});
+    answer.body = policy::merge_records(bodies, top_records);
+    return answer;
+}
+
+} // namespace tamarackhoist::node
--- /dev/null
+++ b/packages/node/src/gateway.cpp
@@ -0,0 +1,402 @@
+#include <tamarackhoist/node/gateway.hpp>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <random>
+#include <tamarackhoist/policy/identifier.hpp>
+#include <tamarackhoist/runtime/event.hpp>
+
+namespace tamarackhoist::node
+{
+
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+using runtime::duration;
+using runtime::event_number;
+using runtime::log_event;
+
+namespace
+{
+
+/// Time after SIGTERM in which the balancer may still send new connections:
+/// it asks once a second and counts two misses.
+constexpr duration balancer_lag = 2500ms;
+/// The process ends this long before it would be killed.
+constexpr duration shutdown_margin = 300ms;
+constexpr duration shutdown_check = 50ms;
+constexpr std::size_t warm_connections = 1;
+
+callers::forward_answer make_not_found()
+{
+    return {static_cast<unsigned>(http::status::not_found), "Not Found", {},
+            {}};
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+runtime::result<std::unique_ptr<gateway>, std::string>
+gateway::create(gateway_settings settings, runtime::clock clock,
+                forward_fields fields, const store_factory& make_store)
+{
+    std::unique_ptr<gateway> created(
+        new gateway(std::move(settings), std::move(clock), std::move(fields),
+                    make_store));
+    BOOST_OUTCOME_TRY(created->listen());
+    return created;
+}
+
+gateway::gateway(gateway_settings settings, runtime::clock clock,
+                 forward_fields fields, const store_factory& make_store)
+    : settings_(std::move(settings)), clock_(std::move(clock)),
+      directory_(watch_directory()),
+      context_(settings_.failure_domain,
+               {.ratio = settings_.extra_attempt_ratio,
+                .allowance =
+                    static_cast<double>(settings_.extra_attempt_allowance) /
+                    settings_.expected_nodes,
+                .window = settings_.extra_attempt_window},
+               policy::hash_text(settings_.name), clock_.now()),
+      expiry_timer_(io_context_), shutdown_timer_(io_context_)
+{
+    forwarding_ = std::make_shared<forwarding>(forwarding{
+        io_context_, clock_, std::move(fields), settings_.caller_delay,
+        context_, directory_, metrics_,
+        [this](const policy::tracked_upstream& upstream) {
+            const auto found = pools_.find(upstream.registration.id);
+            return found == pools_.end() ? nullptr : found->second;
+        }});
+    platform::news_follower::options options;
+    options.random_seed = policy::hash_text(settings_.name);
+    news_ = std::make_shared<platform::news_follower>(
+        io_context_, clock_, options, make_store(io_context_, settings_.store),
+        watch_news());
+}
+
+gateway::~gateway() = default;
+
+runtime::result<void, std::string> gateway::listen()
+{
+    BOOST_OUTCOME_TRY(
+        callers_,
+        callers::forward_server::create(
+            io_context_, clock_, {settings_.callers},
+            [this] {
+                return routes_ ? routes_->limits() : policy::request_limits();
+            },
+            [this](std::shared_ptr<callers::forward_exchange> exchange) {
+                handle(std::move(exchange));
+            }));
+    const auto answer = [this](const transport::http_request& request,
+                               const transport::http_server::respond& respond) {
+        answer_operator(request, respond);
+    };
+    BOOST_OUTCOME_TRY(readiness_, transport::http_server::create(
+                                      io_context_.get_executor(),
+                                      settings_.readiness, {}, answer));
+    BOOST_OUTCOME_TRY(metrics_server_, transport::http_server::create(
+                                           io_context_.get_executor(),
+                                           settings_.metrics, {}, answer));
+    return boost::outcome_v2::success();
+}
+
+void gateway::run()
+{
+    log_event(event_number::node_started,
+              settings_.name + " in " + settings_.failure_domain);
+    callers_->start();
+    readiness_->start();
+    metrics_server_->start();
+    news_->start();
+    io_context_.run();
+    log_event(event_number::node_stopped, settings_.name);
+}
+
+void gateway::shut_down()
+{
+    boost::asio::post(io_context_, [this] {
+        if (shutdown_at_) {
+            return;
+        }
+        log_event(event_number::node_leaving,
+                  settings_.name + " in flight " +
+                      std::to_string(callers_->requests_in_flight()));
+        shutdown_at_ = clock_.now();
+        callers_->start_draining();
+        continue_shutdown();
+    });
+}
+
+void gateway::note_reload()
+{
+    boost::asio::post(io_context_, [this] {
+        log_event(event_number::settings_changed, settings_.name);
+    });
+}
+
+void gateway::continue_shutdown()
+{
+    const auto elapsed = clock_.now() - *shutdown_at_;
+    if (elapsed >= balancer_lag) {
+        callers_->close_idle();
+    }
+    const bool is_done =
+        elapsed >= balancer_lag && callers_->requests_in_flight() == 0;
+    if (is_done || elapsed >= settings_.shutdown_grace - shutdown_margin) {
+        io_context_.stop();
+        return;
+    }
+    shutdown_timer_.expires_after(shutdown_check);
+    shutdown_timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            continue_shutdown();
+        }
+    });
+}
+
+bool gateway::is_ready() const
+{
+    return routes_ != nullptr && is_listed_ && !shutdown_at_;
+}
+
+bool gateway::has_recent_news() const
+{
+    const auto heard = news_->heard_at();
+    return heard && clock_.now() - *heard <= settings_.news_age;
+}
+
+void gateway::handle(std::shared_ptr<callers::forward_exchange> exchange)
+{
+    if (routes_ == nullptr) {
+        exchange->respond(make_not_executed());
+        return;
+    }
+    const auto& request = exchange->request();
+    const auto host = request[http::field::host];
+    const auto target = request.target();
+    const auto* route =
+        routes_->find({host.data(), host.size()},
+                      path_of({target.data(), target.size()}));
+    if (route != nullptr) {
+        forward(forwarding_, routes_, *route, std::move(exchange));
+        return;
+    }
+    // Without recent news the route may have been added meanwhile.
+    const bool is_certain = has_recent_news();
+    metrics_.count({"tamarackhoist_unknown_route_total", ""});
+    exchange->respond(is_certain ? make_not_found() : make_not_executed());
+}
+
+void gateway::answer_operator(const transport::http_request& request,
+                              const transport::http_server::respond& respond)
+{
+    if (request.target() == "/ready") {
+        respond(transport::make_response(
+            is_ready() ? http::status::ok : http::status::service_unavailable,
+            {}, "text/plain"));
+        return;
+    }
+    if (request.target() == "/metrics") {
+        set_gauges();
+        respond(transport::make_response(http::status::ok, metrics_.render(),
+                                         "text/plain; version=0.0.4"));
+        return;
+    }
+    respond(
+        transport::make_response(http::status::not_found, {}, "text/plain"));
+}
+
+void gateway::set_gauges()
+{
+    std::size_t connections = 0;
+    for (const auto& [id, pool] : pools_) {
+        connections += pool->connection_count();
+    }
+    metrics_.set({"tamarackhoist_upstream_connections", ""},
+                 static_cast<double>(connections));
+    metrics_.set({"tamarackhoist_upstreams", ""},
+                 static_cast<double>(directory_.size()));
+    metrics_.set({"tamarackhoist_configuration_version", ""},
+                 routes_ ? static_cast<double>(routes_->version()) : 0.0);
+    metrics_.set({"tamarackhoist_requests_in_flight", ""},
+                 static_cast<double>(callers_->requests_in_flight()));
+    metrics_.set({"tamarackhoist_store_calls", ""},
+                 static_cast<double>(news_->call_count()));
+    if (const auto heard = news_->heard_at()) {
+        metrics_.set({"tamarackhoist_news_age_seconds", ""},
+                     runtime::to_seconds(clock_.now() - *heard));
+    }
+}
+
+platform::news_follower::observer gateway::watch_news()
+{
+    return {.listed = [this](const std::vector<platform::news_item>& items,
+                             std::uint64_t revision) {
+                take_list(items, revision);
+            },
+            .changed =
+                [this](const std::vector<platform::news_item>& items) {
+                    for (const auto& item : items) {
+                        take(item);
+                    }
+                    arm_expiry();
+                },
+            .regained =
+                [this] {
+                    log_event(event_number::platform_regained, {});
+                    directory_.store_returned(clock_.now());
+                },
+            .lost =
+                [](platform::store_error error) {
+                    log_event(event_number::platform_read_failed,
+                              platform::to_string(error));
+                }};
+}
+
+void gateway::take(const platform::news_item& item)
+{
+    const auto now = clock_.now();
+    if (const auto* published =
+            std::get_if<platform::routes_published>(&item)) {
+        take_routes(published->routes);
+    } else if (const auto* registered =
+                   std::get_if<platform::upstream_registered>(&item)) {
+        directory_.put(registered->entry, now);
+    } else if (const auto* removed =
+                   std::get_if<platform::upstream_unregistered>(&item)) {
+        directory_.remove(removed->id, removed->revision, now);
+    } else if (const auto* unusable =
+                   std::get_if<platform::unusable_value>(&item)) {
+        note_unusable(*unusable);
+    }
+}
+
+void gateway::take_list(const std::vector<platform::news_item>& items,
+                        std::uint64_t revision)
+{
+    std::vector<policy::registered_upstream> entries;
+    for (const auto& item : items) {
+        if (const auto* registered =
+                std::get_if<platform::upstream_registered>(&item)) {
+            entries.push_back(registered->entry);
+            continue;
+        }
+        take(item);
+    }
+    directory_.replace_all(entries, revision, clock_.now());
+    arm_expiry();
+    is_listed_ = true;
+    check_ready();
+}
+
+void gateway::take_routes(
+    const std::shared_ptr<const policy::routing_table>& routes)
+{
+    if (routes_ != nullptr && routes->version() <= routes_->version()) {
+        return;
+    }
+    routes_ = routes;
+    log_event(event_number::routes_in_force,
+              "version " + std::to_string(routes_->version()) + " routes " +
+                  std::to_string(routes_->route_count()));
+    check_ready();
+}
+
+void gateway::check_ready()
+{
+    if (!was_ready_ && is_ready()) {
+        was_ready_ = true;
+        log_event(event_number::node_ready, settings_.name);
+    }
+}
+
+void gateway::note_unusable(const platform::unusable_value& value)
+{
+    auto& reason = unusable_[value.key];
+    if (reason == value.reason) {
+        return;
+    }
+    reason = value.reason;
+    log_event(event_number::platform_answer_rejected,
+              value.key + ": " + value.reason);
+}
+
+void gateway::arm_expiry()
+{
+    const auto next = directory_.next_expiry();
+    if (!next) {
+        return;
+    }
+    expiry_timer_.expires_after(runtime::non_negative(*next - clock_.now()));
+    expiry_timer_.async_wait([this](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        directory_.expire(clock_.now());
+        arm_expiry();
+    });
+}
+
+policy::upstream_directory::observer gateway::watch_directory()
+{
+    return {.added =
+                [this](const policy::upstream_handle& upstream) {
+                    open_pool(*upstream);
+                },
+            .draining =
+                [](const policy::tracked_upstream& upstream) {
+                    log_event(event_number::upstream_draining,
+                              upstream.registration.id);
+                },
+            .gone =
+                [this](const policy::tracked_upstream& upstream) {
+                    close_pool(upstream);
+                }};
+}
+
+std::size_t gateway::connection_share(std::string_view service) const
+{
+    const auto* known = routes_ ? routes_->find_service(service) : nullptr;
+    const auto cap = known != nullptr ? known->max_connections : 1U;
+    return std::max<std::size_t>(1, cap / settings_.expected_nodes);
+}
+
+void gateway::open_pool(const policy::tracked_upstream& upstream)
+{
+    const auto& registration = upstream.registration;
+    log_event(event_number::upstream_added,
+              registration.id + " of " + registration.service + " at " +
+                  registration.address + ":" +
+                  std::to_string(registration.port));
+    const upstreams::forward_pool::options options{
+        .connection = {.target = {registration.address, registration.port},
+                       .request_id_field = forwarding_->fields.request_id},
+        .max_connections = connection_share(registration.service),
+        .warm_connections = warm_connections};
+    const auto pool = std::make_shared<upstreams::forward_pool>(
+        io_context_, clock_, options);
+    pools_[registration.id] = pool;
+    if (!registration.is_draining) {
+        pool->warm();
+    }
+}
+
+void gateway::close_pool(const policy::tracked_upstream& upstream)
+{
+    const auto& registration = upstream.registration;
+    log_event(event_number::upstream_gone,
+              registration.id + " of " + registration.service);
+    const auto found = pools_.find(registration.id);
+    if (found == pools_.end()) {
+        return;
+    }
+    const auto pool = found->second;
+    pools_.erase(found);
+    pool->retire();
+}
+
+} // namespace tamarackhoist::node
--- /dev/null
+++ b/packages/node/src/gateway_settings.cpp
@@ -0,0 +1,71 @@
+#include <tamarackhoist/node/gateway_settings.hpp>
+
+#include "settings_reader.hpp"
+
+namespace tamarackhoist::node
+{
+
+using document::document_error;
+using document::section_reader;
+
+namespace
+{
+
+constexpr std::uint64_t max_nodes = 10'000;
+constexpr std::uint64_t max_allowance = 1'000'000;
+
+void read_node(section_reader& reader, gateway_settings& settings)
+{
+    settings.name = reader.required_text("id");
+    settings.failure_domain = reader.required_text("failure_domain");
+    settings.shutdown_grace = reader.required_duration("shutdown_grace");
+}
+
+void read_addresses(section_reader& reader, gateway_settings& settings)
+{
+    settings.callers = read_endpoint(reader, "callers");
+    settings.readiness = read_endpoint(reader, "readiness");
+    settings.metrics = read_endpoint(reader, "metrics");
+    settings.store = read_endpoint(reader, "store");
+}
+
+void read_fleet(section_reader& reader, gateway_settings& settings)
+{
+    settings.expected_nodes = static_cast<std::uint32_t>(reader.optional_number(
+        "expected_nodes", 1, max_nodes, settings.expected_nodes));
+    settings.caller_delay = reader.required_duration("caller_delay");
+    settings.news_age = reader.required_duration("news_age");
+}
+
+void read_extra_attempts(section_reader& reader, gateway_settings& settings)
+{
+    settings.extra_attempt_ratio =
+        reader.optional_fraction("ratio", settings.extra_attempt_ratio);
+    settings.extra_attempt_allowance =
+        static_cast<std::uint32_t>(reader.optional_number(
+            "allowance", 0, max_allowance, settings.extra_attempt_allowance));
+    settings.extra_attempt_window = reader.required_duration("window");
+}
+
+} // namespace
+
+runtime::result<gateway_settings, std::vector<document_error>>
+gateway_settings::parse(std::string_view text)
+{
+    gateway_settings settings;
+    const auto errors = read_settings(
+        text,
+        {{"node", [&](section_reader& each) { read_node(each, settings); }},
+         {"addresses",
+          [&](section_reader& each) { read_addresses(each, settings); }},
+         {"fleet", [&](section_reader& each) { read_fleet(each, settings); }},
+         {"extra attempts",
+          [&](section_reader& each) { read_extra_attempts(each, settings); }}},
+        {});
+    if (!errors.empty()) {
+        return errors;
+    }
+    return settings;
+}
+
+} // namespace tamarackhoist::node
--- /dev/null
+++ b/packages/node/src/settings_reader.cpp
@@ -0,0 +1,83 @@
+#include "settings_reader.hpp"
+
+#include <set>
+
+namespace tamarackhoist::node
+{
+
+using document::document_error;
+using document::ini_section;
+using document::section_reader;
+
+namespace
+{
+
+void append(std::vector<document_error>& errors,
+            const std::vector<document_error>& added)
+{
+    errors.insert(errors.end(), added.begin(), added.end());
+}
+
+void read_section(const ini_section& section, const section_handler& handle,
+                  std::vector<document_error>& errors)
+{
+    section_reader reader(section);
+    handle(reader);
+    append(errors, reader.finish());
+}
+
+} // namespace
+
+std::vector<document_error>
+read_settings(std::string_view text,
+              const std::map<std::string, section_handler>& required,
+              const std::map<std::string, section_handler>& optional)
+{
+    std::vector<document_error> errors;
+    std::set<std::string> present;
+    for (const auto& section : document::read_ini(text)) {
+        if (!present.insert(section.title).second) {
+            errors.push_back({section.title,
+                              {},
+                              section.line,
+                              "the section is given twice"});
+            continue;
+        }
+        if (const auto found = required.find(section.title);
+            found != required.end()) {
+            read_section(section, found->second, errors);
+            continue;
+        }
+        if (const auto found = optional.find(section.title);
+            found != optional.end()) {
+            read_section(section, found->second, errors);
+            continue;
+        }
+        append(errors, section.errors);
+        errors.push_back(
+            {section.title, {}, section.line, "the section is not known"});
+    }
+    for (const auto& [title, handle] : required) {
+        if (!present.contains(title)) {
+            errors.push_back({title, {}, 1, "the section is missing"});
+        }
+    }
+    return errors;
+}
+
+transport::endpoint read_endpoint(section_reader& reader, std::string_view key)
+{
+    const auto text = reader.required_text(key);
+    const auto parsed = transport::endpoint::parse(text);
+    if (!parsed) {
+        if (!text.empty()) {
+            reader.fail(key, "\"" + text +
+                                 "\" is not of the form "
+                                 "ADDRESS:PORT");
+        }
+        return {};
+    }
+    return *parsed;
+}
+
+} // namespace tamarackhoist::node
--- /dev/null
+++ b/packages/policy/src/upstream_directory.cpp
@@ -0,0 +1,159 @@
+#include <tamarackhoist/policy/upstream_directory.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace tamarackhoist::policy
+{
+
+using runtime::time_point;
+
+upstream_directory::upstream_directory(observer watch)
+    : watch_(std::move(watch))
+{
+}
+
+void upstream_directory::put(const registered_upstream& entry, time_point now)
+{
+    auto& slot = by_id_[entry.id];
+    const bool is_new =
+        slot == nullptr ||
+        slot->registration.started_at != entry.started_at ||
+        slot->registration.address != entry.address ||
+        slot->registration.port != entry.port ||
+        slot->registration.service != entry.service;
+    if (slot != nullptr && entry.revision < slot->registration.revision) {
+        return;
+    }
+    if (is_new) {
+        const auto previous = slot;
+        slot = std::make_shared<tracked_upstream>();
+        slot->registration = entry;
+        slot->warm_at = now + entry.warm_up_left;
+        if (previous != nullptr) {
+            previous->is_gone = true;
+            rebuild(previous->registration.service);
+            watch_.gone(*previous);
+        }
+        rebuild(entry.service);
+        watch_.added(slot);
+        return;
+    }
+    const bool starts_draining =
+        entry.is_draining && !slot->registration.is_draining;
+    slot->registration = entry;
+    slot->warm_at = now + entry.warm_up_left;
+    slot->gone_at.reset();
+    rebuild(entry.service);
+    if (starts_draining) {
+        watch_.draining(*slot);
+    }
+}
+
+void upstream_directory::remove(std::string_view id, std::uint64_t revision,
+                                time_point now)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end() ||
+        found->second->registration.revision > revision) {
+        return;
+    }
+    schedule_removal(found->second, now);
+}
+
+void upstream_directory::replace_all(
+    std::span<const registered_upstream> entries, std::uint64_t revision,
+    time_point now)
+{
+    std::set<std::string_view> listed;
+    for (const auto& entry : entries) {
+        listed.insert(entry.id);
+        put(entry, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, upstream] : by_id_) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        remove(id, revision, now);
+    }
+}
+
+void upstream_directory::store_returned(time_point now)
+{
+    grace_until_ = now + lapse_grace;
+}
+
+void upstream_directory::schedule_removal(const upstream_handle& upstream,
+                                          time_point now)
+{
+    if (now >= grace_until_) {
+        drop(upstream->registration.id);
+        return;
+    }
+    if (!upstream->gone_at) {
+        upstream->gone_at = grace_until_;
+    }
+}
+
+void upstream_directory::expire(time_point now)
+{
+    std::vector<std::string> due;
+    for (const auto& [id, upstream] : by_id_) {
+        if (upstream->gone_at && *upstream->gone_at <= now) {
+            due.push_back(id);
+        }
+    }
+    for (const auto& id : due) {
+        drop(id);
+    }
+}
+
+std::optional<time_point> upstream_directory::next_expiry() const
+{
+    std::optional<time_point> next;
+    for (const auto& [id, upstream] : by_id_) {
+        if (!upstream->gone_at) {
+            continue;
+        }
+        next = next ? std::min(*next, *upstream->gone_at) : *upstream->gone_at;
+    }
+    return next;
+}
+
+std::span<const upstream_handle>
+upstream_directory::ready(std::string_view service) const
+{
+    const auto found = ready_by_service_.find(service);
+    if (found == ready_by_service_.end()) {
+        return {};
+    }
+    return found->second;
+}
+
+void upstream_directory::drop(const std::string& id)
+{
+    const auto found = by_id_.find(id);
+    const auto upstream = found->second;
+    by_id_.erase(found);
+    upstream->is_gone = true;
+    rebuild(upstream->registration.service);
+    watch_.gone(*upstream);
+}
+
+void upstream_directory::rebuild(const std::string& service)
+{
+    auto& ready = ready_by_service_[service];
+    ready.clear();
+    for (const auto& [id, upstream] : by_id_) {
+        if (upstream->registration.service != service ||
+            upstream->registration.is_draining || upstream->is_gone) {
+            continue;
+        }
+        ready.push_back(upstream);
+    }
+}
+
+} // namespace tamarackhoist::policy
--- /dev/null
+++ b/packages/upstreams/src/forward_connection.cpp
@@ -0,0 +1,314 @@
+#include <tamarackhoist/upstreams/forward_connection.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cassert>
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace tamarackhoist::upstreams
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Data that stays unacknowledged this long ends the connection.
+constexpr int unacknowledged_timeout_ms = 2500;
+/// An idle connection is left alone this long before its upstream's timeout.
+constexpr runtime::duration idle_margin = 500ms;
+constexpr std::size_t read_chunk = 16 * 1024;
+constexpr std::size_t max_header_bytes = 64 * 1024;
+
+/// Buffer for reads; its content is consumed within the read's handler.
+std::array<char, read_chunk>& read_buffer()
+{
+    static std::array<char, read_chunk> buffer;
+    return buffer;
+}
+
+} // namespace
+
+std::shared_ptr<forward_connection> forward_connection::create(
+    asio::io_context& context, runtime::clock clock, options options,
+    std::function<void(bool)> opened, std::function<void()> closed)
+{
+    std::shared_ptr<forward_connection> created(new forward_connection(
+        context, std::move(clock), std::move(options), std::move(opened),
+        std::move(closed)));
+    created->start_connect();
+    return created;
+}
+
+forward_connection::forward_connection(asio::io_context& context,
+                                       runtime::clock clock, options options,
+                                       std::function<void(bool)> opened,
+                                       std::function<void()> closed)
+    : socket_(context), connect_timer_(context), clock_(std::move(clock)),
+      options_(std::move(options)), opened_(std::move(opened)),
+      closed_(std::move(closed))
+{
+}
+
+void forward_connection::start_connect()
+{
+    auto self = shared_from_this();
+    error_code error;
+    const auto address =
+        asio::ip::make_address(options_.target.address, error);
+    if (error) {
+        asio::post(socket_.get_executor(),
+                   [self] { self->connect_ended(false); });
+        return;
+    }
+    connect_timer_.expires_after(options_.connect_timeout);
+    connect_timer_.async_wait([self](error_code timer_error) {
+        if (!timer_error) {
+            self->connect_ended(false);
+        }
+    });
+    socket_.async_connect({address, options_.target.port},
+                          [self](error_code connect_error) {
+                              self->connect_ended(!connect_error);
+                          });
+}
+
+void forward_connection::connect_ended(bool is_open)
+{
+    if (opened_ == nullptr) {
+        return;
+    }
+    connect_timer_.cancel();
+    const auto opened = std::exchange(opened_, nullptr);
+    if (is_open) {
+        is_open_ = true;
+        idle_since_ = clock_.now();
+        set_options();
+        read();
+    } else {
+        error_code ignored;
+        socket_.close(ignored);
+        closed_ = nullptr;
+    }
+    opened(is_open);
+}
+
+void forward_connection::set_options()
+{
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                 &unacknowledged_timeout_ms,
+                 sizeof(unacknowledged_timeout_ms));
+}
+
+bool forward_connection::is_stale() const
+{
+    return idle_time() + idle_margin >= idle_timeout_;
+}
+
+runtime::duration forward_connection::idle_time() const
+{
+    return clock_.now() - idle_since_;
+}
+
+void forward_connection::exchange(forward_request request,
+                                  result_handler handle)
+{
+    assert(is_idle());
+    is_busy_ = true;
+    is_written_ = false;
+    request_ = std::move(request);
+    handle_ = std::move(handle);
+    begin_message();
+    error_code error;
+    const auto written =
+        socket_.write_some(asio::buffer(request_.bytes), error);
+    if (error && error != asio::error::would_block) {
+        auto self = shared_from_this();
+        asio::post(socket_.get_executor(), [self] { self->fail(); });
+        return;
+    }
+    if (written == request_.bytes.size()) {
+        is_written_ = true;
+        return;
+    }
+    write_rest(written);
+}
+
+void forward_connection::write_rest(std::size_t written)
+{
+    auto self = shared_from_this();
+    asio::async_write(
+        socket_, asio::buffer(request_.bytes) + written,
+        [self](error_code error, std::size_t) {
+            if (error) {
+                self->fail();
+                return;
+            }
+            self->is_written_ = true;
+        });
+}
+
+void forward_connection::begin_message()
+{
+    parser_.emplace();
+    parser_->header_limit(max_header_bytes);
+    parser_->body_limit(options_.max_response_bytes);
+    parser_->eager(true);
+    parser_->skip(request_.is_head);
+}
+
+void forward_connection::read()
+{
+    auto self = shared_from_this();
+    socket_.async_read_some(asio::buffer(read_buffer()),
+                            [self](error_code error, std::size_t size) {
+                                self->read_ended(error, size);
+                            });
+}
+
+void forward_connection::read_ended(error_code error, std::size_t size)
+{
+    if (!is_open_) {
+        return;
+    }
+    if (error == asio::error::eof && is_busy_ && parser_->got_some()) {
+        // An answer without a length ends with its connection.
+        error_code parse_error;
+        parser_->put_eof(parse_error);
+        if (!parse_error && parser_->is_done()) {
+            message_complete();
+            return;
+        }
+    }
+    if (error || !is_busy_) {
+        // Bytes while idle belong to no request.
+        fail();
+        return;
+    }
+    unparsed_.append(read_buffer().data(), size);
+    parse();
+    if (is_open_) {
+        read();
+    }
+}
+
+void forward_connection::parse()
+{
+    while (is_open_ && is_busy_ && !unparsed_.empty()) {
+        error_code error;
+        const auto used = parser_->put(asio::buffer(unparsed_), error);
+        unparsed_.erase(0, used);
+        if (error == http::error::need_more) {
+            return;
+        }
+        if (error) {
+            fail();
+            return;
+        }
+        if (parser_->is_done()) {
+            message_complete();
+            continue;
+        }
+        if (used == 0) {
+            return;
+        }
+    }
+    if (is_open_ && !unparsed_.empty()) {
+        fail();
+    }
+}
+
+void forward_connection::message_complete()
+{
+    const auto& response = parser_->get();
+    const bool is_interim =
+        http::to_status_class(response.result()) ==
+        http::status_class::informational;
+    const auto id = response.find(options_.request_id_field);
+    const bool is_foreign =
+        id != response.end() && id->value() != request_.request_id;
+    if (is_interim || is_foreign) {
+        // A second answer to an earlier request may arrive late; the answer
+        // to this one is still to come.
+        if (parser_->keep_alive()) {
+            begin_message();
+            return;
+        }
+        fail();
+        return;
+    }
+    auto handle = std::exchange(handle_, nullptr);
+    forward_result result{forward_status::answered, parser_->release()};
+    const bool is_reusable = result.response.keep_alive() &&
+                             !result.response.need_eof() && is_written_ &&
+                             unparsed_.empty() && socket_.is_open();
+    learn_idle_timeout(result.response);
+    is_busy_ = false;
+    idle_since_ = clock_.now();
+    if (!is_reusable) {
+        fail();
+    }
+    handle(std::move(result));
+}
+
+void forward_connection::learn_idle_timeout(
+    const transport::http_response& response)
+{
+    const auto field = response.find(http::field::keep_alive);
+    if (field == response.end()) {
+        return;
+    }
+    const std::string_view text(field->value().data(), field->value().size());
+    constexpr std::string_view key = "timeout=";
+    const auto position = text.find(key);
+    if (position == std::string_view::npos) {
+        return;
+    }
+    unsigned seconds = 0;
+    const auto digits = text.substr(position + key.size());
+    const auto parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec == std::errc()) {
+        idle_timeout_ = std::chrono::seconds(seconds);
+    }
+}
+
+void forward_connection::fail()
+{
+    if (!is_open_) {
+        return;
+    }
+    auto handle = std::exchange(handle_, nullptr);
+    close();
+    if (handle != nullptr) {
+        handle({forward_status::broken, {}});
+    }
+}
+
+void forward_connection::close()
+{
+    connect_timer_.cancel();
+    opened_ = nullptr;
+    handle_ = nullptr;
+    const bool was_open = std::exchange(is_open_, false);
+    error_code ignored;
+    socket_.close(ignored);
+    const auto closed = std::exchange(closed_, nullptr);
+    if (was_open && closed != nullptr) {
+        closed();
+    }
+}
+
+} // namespace tamarackhoist::upstreams
