gateway: Read into the shared buffer only when its bytes are parsed at once

Cause: every connection passed one static buffer to an asynchronous read. Change: connections wait for readability without a buffer and read when they parse.

--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -115,18 +115,27 @@
     }
     is_reading_ = true;
     auto self = shared_from_this();
-    socket_.async_read_some(asio::buffer(read_buffer()),
-                            [self](error_code error, std::size_t size) {
-                                self->is_reading_ = false;
-                                self->read_ended(error, size);
-                            });
+    // Waits without a buffer: the buffer is shared by all connections, and
+    // Asio may fill it well before it runs the handler of the read.
+    socket_.async_wait(tcp::socket::wait_read, [self](error_code error) {
+        self->is_reading_ = false;
+        if (self->state_ == state::closed) {
+            return;
+        }
+        std::size_t size = 0;
+        if (!error) {
+            size = self->socket_.read_some(asio::buffer(read_buffer()), error);
+        }
+        if (error == asio::error::would_block) {
+            self->read();
+            return;
+        }
+        self->read_ended(error, size);
+    });
 }
 
 void caller_connection::read_ended(error_code error, std::size_t size)
 {
-    if (state_ == state::closed) {
-        return;
-    }
     if (error) {
         abandon();
         return;
--- a/packages/upstreams/src/forward_connection.cpp
+++ b/packages/upstreams/src/forward_connection.cpp
@@ -171,18 +171,27 @@
 
 void forward_connection::read()
 {
+    // Waits without a buffer: the buffer is shared by all connections, and
+    // Asio may fill it well before it runs the handler of the read.
     auto self = shared_from_this();
-    socket_.async_read_some(asio::buffer(read_buffer()),
-                            [self](error_code error, std::size_t size) {
-                                self->read_ended(error, size);
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self](error_code error) {
+        if (!self->is_open_) {
+            return;
+        }
+        std::size_t size = 0;
+        if (!error) {
+            size = self->socket_.read_some(asio::buffer(read_buffer()), error);
+        }
+        if (error == asio::error::would_block) {
+            self->read();
+            return;
+        }
+        self->read_ended(error, size);
+    });
 }
 
 void forward_connection::read_ended(error_code error, std::size_t size)
 {
-    if (!is_open_) {
-        return;
-    }
     if (error == asio::error::eof && is_busy_ && parser_->got_some()) {
         // An answer without a length ends with its connection.
         error_code parse_error;
@@ -238,7 +247,7 @@
         http::status_class::informational;
     const auto id = response.find(options_.request_id_field);
     const bool is_foreign =
-        id != response.end() && id->value() != request_.request_id;
+        id == response.end() || id->value() != request_.request_id;
     if (is_interim || is_foreign) {
         // A second answer to an earlier request may arrive late; the answer
         // to this one is still to come.
