runtime: Write structured log lines through a bounded queue

Cause: on-call engineers have only logs and metrics; lines were free text on standard error, written by the thread that served the request. Change: one JSON object a line on standard output, with the request's id and the inputs of the decision; at most 40 lines a second of one event; a thread of its own writes from a queue of 1 MiB that drops and counts. Ruled out: log4cxx's asynchronous appender, which waits for a stopped reader at exit and cannot count its drops as a member of a line.

--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -51,6 +51,8 @@
 
     [[nodiscard]] runtime::result<void, std::string> listen();
     void handle(std::shared_ptr<callers::forward_exchange> exchange);
+    void log_refusal(const transport::http_request& request,
+                     std::string_view reason) const;
     void answer_operator(const transport::http_request& request,
                          const transport::http_server::respond& respond);
     [[nodiscard]] bool is_ready() const;
--- a/packages/node/src/forwarded_request.hpp
+++ b/packages/node/src/forwarded_request.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <tamarackhoist/node/forwarding.hpp>
 #include <tamarackhoist/policy/forward_coordinator.hpp>
+#include <tamarackhoist/runtime/event.hpp>
 #include <vector>
 
 namespace tamarackhoist::node
@@ -36,6 +37,11 @@
     void ended(policy::attempt_key key, upstreams::forward_result result);
     void finish(policy::forward_outcome outcome);
     void report(policy::forward_outcome outcome);
+    void log_decision(const policy::attempt_decision& decision);
+    void log_outcome(runtime::event_number number,
+                     policy::forward_outcome outcome,
+                     runtime::duration elapsed) const;
+    void log_missing_shards() const;
     void arm_timer();
     [[nodiscard]] callers::forward_answer
     make_final_answer(policy::forward_outcome outcome) const;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <random>
 #include <tamarackhoist/policy/identifier.hpp>
-#include <tamarackhoist/runtime/event.hpp>
+#include <tamarackhoist/runtime/log_line.hpp>
 
 namespace tamarackhoist::node
 {
@@ -171,11 +171,12 @@
 
 void gateway::handle(std::shared_ptr<callers::forward_exchange> exchange)
 {
+    const auto& request = exchange->request();
     if (routes_ == nullptr) {
+        log_refusal(request, "no configuration is known yet");
         exchange->respond(make_not_executed());
         return;
     }
-    const auto& request = exchange->request();
     const auto host = request[http::field::host];
     const auto target = request.target();
     const auto* route =
@@ -188,9 +189,27 @@
     // Without recent news the route may have been added meanwhile.
     const bool is_certain = has_recent_news();
     metrics_.count({"tamarackhoist_unknown_route_total", ""});
+    log_refusal(request, is_certain
+                             ? "no route matches"
+                             : "no route matches, and news are overdue");
     exchange->respond(is_certain ? make_not_found() : make_not_executed());
 }
 
+void gateway::log_refusal(const transport::http_request& request,
+                          std::string_view reason) const
+{
+    const auto id = request[forwarding_->fields.request_id];
+    const auto target = request.target();
+    runtime::log_line line(event_number::request_not_executed);
+    line.add("request", std::string_view(id.data(), id.size()))
+        .add("reason", reason)
+        .add("target", std::string_view(target.data(), target.size()))
+        .add("version", routes_ ? routes_->version() : 0);
+    if (const auto heard = news_->heard_at()) {
+        line.add("news_age_ms", clock_.now() - *heard);
+    }
+}
+
 void gateway::answer_operator(const transport::http_request& request,
                               const transport::http_server::respond& respond)
 {
@@ -226,6 +245,10 @@
                  static_cast<double>(callers_->requests_in_flight()));
     metrics_.set({"tamarackhoist_store_calls", ""},
                  static_cast<double>(news_->call_count()));
+    metrics_.set({"tamarackhoist_log_lines_dropped", ""},
+                 static_cast<double>(runtime::dropped_log_lines()));
+    metrics_.set({"tamarackhoist_log_lines_suppressed", ""},
+                 static_cast<double>(runtime::suppressed_log_lines()));
     if (const auto heard = news_->heard_at()) {
         metrics_.set({"tamarackhoist_news_age_seconds", ""},
                      runtime::to_seconds(clock_.now() - *heard));
--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <tamarackhoist/policy/forward_context.hpp>
 #include <tamarackhoist/policy/routing_table.hpp>
 #include <vector>
@@ -46,6 +47,40 @@
 /// Returns the name of `outcome` in logs and metrics.
 [[nodiscard]] const char* to_string(forward_outcome outcome);
 
+/// Returns the name of `result` in logs and metrics.
+[[nodiscard]] const char* to_string(attempt_result result);
+
+/// Why a shard was attempted again, or was not.
+enum class decision_kind {
+    /// The attempt was slow, so another replica was asked besides.
+    hedged,
+    /// The attempt failed, so another replica was asked.
+    retried,
+    /// The window had no extra attempt left.
+    budget_spent,
+    /// No replica is left that was not asked.
+    no_replica_left
+};
+
+/// Returns the name of `kind` in logs.
+[[nodiscard]] const char* to_string(decision_kind kind);
+
+/// One decision about a further attempt, with what decided it.
+struct attempt_decision {
+    decision_kind kind = decision_kind::retried;
+    std::string_view service;
+    /// Upstream of the latest attempt; empty if there was none.
+    std::string_view previous;
+    /// Upstream of the new attempt; empty if there is none.
+    std::string_view chosen;
+    /// Age of the latest attempt.
+    runtime::duration waited{};
+    /// Latency after which an attempt counts as delayed.
+    runtime::duration hedge_delay{};
+    /// Extra attempts that the window has left.
+    double budget_left = 0.0;
+};
+
 /// Identity of an attempt within its request.
 struct attempt_key {
     std::size_t shard = 0;
@@ -62,6 +97,15 @@
     std::uint32_t denied_by_budget = 0;
 };
 
+/// The attempts of one shard in short.
+struct attempt_summary {
+    std::size_t count = 0;
+    /// Upstream of the latest attempt; empty if there was none.
+    std::string_view upstream;
+    /// How it ended, or that it had not ended.
+    std::string_view result = "none";
+};
+
 /// Times of one request, on the node's clock.
 struct forward_times {
     runtime::time_point started;
@@ -87,6 +131,8 @@
         std::function<void(attempt_key)> cancel;
         /// The request is over; called once.
         std::function<void(forward_outcome)> finish;
+        /// Reports a decision for the log; may be empty.
+        std::function<void(const attempt_decision&)> decided;
     };
 
     forward_coordinator(forward_context& context,
@@ -110,6 +156,8 @@
     [[nodiscard]] bool is_finished() const { return is_finished_; }
     [[nodiscard]] const forward_counts& counts() const { return counts_; }
 
+    /// Returns the course of `shard` so far, for the log.
+    [[nodiscard]] attempt_summary last_attempt(std::size_t shard) const;
     /// Returns the attempt that answered for `shard`, if any.
     [[nodiscard]] std::optional<attempt_key> winner(std::size_t shard) const;
     /// Returns the last attempt that ended in an upstream's failure, if any.
@@ -132,6 +180,8 @@
         runtime::time_point started;
         attempt_state state = attempt_state::open;
         bool is_extra = false;
+        /// Meaningful once the attempt has ended.
+        attempt_result result = attempt_result::broken;
     };
 
     struct shard_state {
@@ -150,6 +200,8 @@
               bool is_extra, runtime::time_point now);
     void retry(std::size_t index, bool counts_as_extra,
                runtime::time_point now);
+    void decide(decision_kind kind, const shard_state& shard,
+                const upstream_handle& chosen, runtime::time_point now);
     void hedge(std::size_t index, runtime::time_point now);
     void hedge_delayed(runtime::time_point now);
     void give_up_attempts(shard_state& shard, std::size_t index,
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -46,6 +46,38 @@
     return "unknown";
 }
 
+const char* to_string(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::answered:
+        return "answered";
+    case attempt_result::failed:
+        return "failed";
+    case attempt_result::not_executed:
+        return "not_executed";
+    case attempt_result::broken:
+        return "broken";
+    case attempt_result::not_sent:
+        return "not_sent";
+    }
+    return "broken";
+}
+
+const char* to_string(decision_kind kind)
+{
+    switch (kind) {
+    case decision_kind::hedged:
+        return "hedged";
+    case decision_kind::retried:
+        return "retried";
+    case decision_kind::budget_spent:
+        return "budget_spent";
+    case decision_kind::no_replica_left:
+        return "no_replica_left";
+    }
+    return "no_replica_left";
+}
+
 forward_coordinator::forward_coordinator(
     forward_context& context, const upstream_directory& directory,
     const route& of, std::vector<std::string> shards, forward_times times,
@@ -68,6 +100,7 @@
         const auto upstream = pick(shard, now);
         if (upstream == nullptr) {
             shard.is_exhausted = true;
+            decide(decision_kind::no_replica_left, shard, nullptr, now);
             continue;
         }
         send(index, upstream, false, now);
@@ -92,7 +125,7 @@
                                time_point now)
 {
     auto& shard = shards_[index];
-    shard.attempts.push_back({upstream, now, attempt_state::open, is_extra});
+    shard.attempts.push_back({upstream, now, attempt_state::open, is_extra, {}});
     ++upstream->in_flight;
     ++counts_.attempts;
     hooks_.send({index, shard.attempts.size() - 1}, upstream);
@@ -146,6 +179,7 @@
                                      time_point now)
 {
     ended.state = attempt_state::ended;
+    ended.result = result;
     --ended.upstream->in_flight;
     const auto elapsed = now - ended.started;
     const auto typical = latency_.typical(route_);
@@ -182,14 +216,17 @@
                               : nullptr;
     if (upstream == nullptr) {
         shard.is_exhausted = true;
+        decide(decision_kind::no_replica_left, shard, nullptr, now);
         return;
     }
     if (counts_as_extra && !context_.extras(shard.service).try_take(now)) {
         ++counts_.denied_by_budget;
         shard.is_exhausted = true;
+        decide(decision_kind::budget_spent, shard, upstream, now);
         return;
     }
     ++counts_.retries;
+    decide(decision_kind::retried, shard, upstream, now);
     send(index, upstream, counts_as_extra, now);
 }
 
@@ -211,9 +248,32 @@
     delayed.upstream->health.record_slow(now - delayed.started,
                                          latency_.typical(route_), now);
     ++counts_.hedges;
+    decide(decision_kind::hedged, shard, upstream, now);
     send(index, upstream, true, now);
 }
 
+void forward_coordinator::decide(decision_kind kind, const shard_state& shard,
+                                 const upstream_handle& chosen, time_point now)
+{
+    if (!hooks_.decided) {
+        return;
+    }
+    attempt_decision decision;
+    decision.kind = kind;
+    decision.service = shard.service;
+    if (!shard.attempts.empty()) {
+        const auto& latest = shard.attempts.back();
+        decision.previous = latest.upstream->registration.id;
+        decision.waited = now - latest.started;
+    }
+    if (chosen != nullptr) {
+        decision.chosen = chosen->registration.id;
+    }
+    decision.hedge_delay = hedge_delay();
+    decision.budget_left = context_.extras(shard.service).left(now);
+    hooks_.decided(decision);
+}
+
 duration forward_coordinator::hedge_delay() const
 {
     const auto delayed = latency_.delayed(route_);
@@ -390,6 +450,22 @@
     hooks_.finish(outcome);
 }
 
+attempt_summary forward_coordinator::last_attempt(std::size_t shard) const
+{
+    attempt_summary summary;
+    const auto& attempts = shards_[shard].attempts;
+    summary.count = attempts.size();
+    if (attempts.empty()) {
+        return summary;
+    }
+    const auto& latest = attempts.back();
+    summary.upstream = latest.upstream->registration.id;
+    summary.result = latest.state == attempt_state::ended
+                         ? to_string(latest.result)
+                         : "no answer yet";
+    return summary;
+}
+
 std::optional<attempt_key> forward_coordinator::winner(std::size_t shard) const
 {
     if (!shards_[shard].winner) {
--- a/packages/programs/src/tamarackhoistd.cpp
+++ b/packages/programs/src/tamarackhoistd.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -138,8 +139,11 @@
         std::cout << FLAGS_config << ": good\n";
         return exit_good;
     }
-    runtime::configure_log();
-    return run(std::move(*settings));
+    runtime::configure_log(settings->name);
+    const auto code = run(std::move(*settings));
+    runtime::flush_log();
+    // The thread that writes the log may be stuck in a write.
+    std::_Exit(code);
 }
 
 } // namespace
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -1,6 +1,7 @@
 #ifndef TAMARACKHOIST_RUNTIME_EVENT_HPP
 #define TAMARACKHOIST_RUNTIME_EVENT_HPP
 
+#include <cstdint>
 #include <span>
 #include <string_view>
 
@@ -18,6 +19,11 @@
     settings_changed = 105,
     caller_request_rejected = 201,
     request_not_complete = 202,
+    request_attempted_again = 203,
+    request_sampled = 204,
+    request_not_executed = 205,
+    shard_missing = 206,
+    lines_left_out = 207,
     upstream_unreachable = 300,
     upstream_draining = 301,
     upstream_added = 302,
@@ -52,8 +58,18 @@
 /// Writes one event to the log with its number, its name and `detail`.
 void log_event(event_number number, std::string_view detail);
 
-/// Directs log output to standard error. Without this call nothing is logged.
-void configure_log();
+/// Directs log output to standard output, as one JSON object a line. Without
+/// this call nothing is logged. `node` is the name of this process.
+void configure_log(std::string_view node);
+
+/// Waits a moment for the lines logged so far to be written.
+void flush_log();
+
+/// Log lines that were dropped because nobody read the output.
+[[nodiscard]] std::uint64_t dropped_log_lines();
+
+/// Log lines that were left out because their event was too frequent.
+[[nodiscard]] std::uint64_t suppressed_log_lines();
 
 } // namespace tamarackhoist::runtime
 
--- a/packages/runtime/src/event.cpp
+++ b/packages/runtime/src/event.cpp
@@ -1,14 +1,7 @@
 #include <tamarackhoist/runtime/event.hpp>
 
-#include <algorithm>
 #include <array>
-#include <cassert>
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/logmanager.h>
-#include <log4cxx/patternlayout.h>
-#include <string>
+#include <tamarackhoist/runtime/log_line.hpp>
 
 namespace tamarackhoist::runtime
 {
@@ -29,6 +22,12 @@
     event_description{caller_request_rejected, warning,
                       "caller request rejected"},
     event_description{request_not_complete, warning, "request not complete"},
+    event_description{request_attempted_again, information,
+                      "request attempted again"},
+    event_description{request_sampled, information, "request sampled"},
+    event_description{request_not_executed, warning, "request not executed"},
+    event_description{shard_missing, warning, "shard missing"},
+    event_description{lines_left_out, warning, "lines left out"},
     event_description{upstream_unreachable, warning, "upstream unreachable"},
     event_description{upstream_draining, information, "upstream draining"},
     event_description{upstream_added, information, "upstream added"},
@@ -51,25 +50,6 @@
                       "request outcome unknown"},
 };
 
-log4cxx::LevelPtr level_of(severity value)
-{
-    switch (value) {
-    case information:
-        return log4cxx::Level::getInfo();
-    case warning:
-        return log4cxx::Level::getWarn();
-    case error:
-        return log4cxx::Level::getError();
-    }
-    return log4cxx::Level::getError();
-}
-
-bool& is_log_configured()
-{
-    static bool value = false;
-    return value;
-}
-
 } // namespace
 
 std::span<const event_description> event_catalogue()
@@ -79,27 +59,7 @@
 
 void log_event(event_number number, std::string_view detail)
 {
-    if (!is_log_configured()) {
-        return;
-    }
-    const auto* entry = std::find_if(
-        catalogue.begin(), catalogue.end(),
-        [&](const event_description& each) { return each.number == number; });
-    assert(entry != catalogue.end());
-    static const auto logger = log4cxx::Logger::getLogger("tamarackhoist");
-    std::string text = "E" + std::to_string(static_cast<int>(number)) + " ";
-    text.append(entry->name).append(": ").append(detail);
-    logger->log(level_of(entry->level), text, LOG4CXX_LOCATION);
-}
-
-void configure_log()
-{
-    const auto layout = std::make_shared<log4cxx::PatternLayout>(
-        "%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %m%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
-    log4cxx::BasicConfigurator::configure(appender);
-    is_log_configured() = true;
+    log_line(number).add("detail", detail);
 }
 
 } // namespace tamarackhoist::runtime
