--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -174,7 +174,7 @@
             reject(status_body_too_large, "Payload Too Large");
             return;
         }
-        if (error) {
+        if (error || has_unknown_coding()) {
             reject(status_bad_request, "Bad Request");
             return;
         }
@@ -188,6 +188,19 @@
     }
 }
 
+bool caller_connection::has_unknown_coding() const
+{
+    // Beast reads a body whose last coding is another one as if there were
+    // none, and its bytes would pass as further requests.
+    if (!parser_->is_header_done()) {
+        return false;
+    }
+    const auto& header = parser_->get();
+    const auto coding = header.find(http::field::transfer_encoding);
+    return coding != header.end() &&
+           !boost::beast::iequals(coding->value(), "chunked");
+}
+
 void caller_connection::request_complete()
 {
     timer_.cancel();
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -35,6 +35,7 @@
     void read();
     void read_ended(boost::system::error_code error, std::size_t size);
     void parse();
+    [[nodiscard]] bool has_unknown_coding() const;
     void request_complete();
     void reject(unsigned status, std::string reason);
     void respond(forward_answer answer);
