--- a/packages/document/include/tamarackhoist/document/section_reader.hpp
+++ b/packages/document/include/tamarackhoist/document/section_reader.hpp
@@ -34,10 +34,15 @@
     /// Reads a fraction from 0 to 1.
     [[nodiscard]] double optional_fraction(std::string_view key,
                                            double fallback);
+    /// Reads a number with a decimal point.
+    [[nodiscard]] double optional_real(std::string_view key, double least,
+                                       double most, double fallback);
     /// Reads `true` or `false`.
     [[nodiscard]] bool optional_flag(std::string_view key, bool fallback);
     /// Reads a number with the unit `ms` or `s`.
     [[nodiscard]] runtime::duration required_duration(std::string_view key);
+    [[nodiscard]] runtime::duration
+    optional_duration(std::string_view key, runtime::duration fallback);
     /// Reads a comma-separated list without empty elements.
     [[nodiscard]] std::vector<std::string> required_list(std::string_view key);
     /// Reads `begin-end`, both hexadecimal with `0x` or decimal.
--- a/packages/document/src/section_reader.cpp
+++ b/packages/document/src/section_reader.cpp
@@ -4,6 +4,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <charconv>
+#include <sstream>
 
 namespace tamarackhoist::document
 {
@@ -124,14 +125,22 @@
 }
 
 double section_reader::optional_fraction(std::string_view key, double fallback)
+{
+    return optional_real(key, 0, 1, fallback);
+}
+
+double section_reader::optional_real(std::string_view key, double least,
+                                     double most, double fallback)
 {
     const auto* entry = take(key, false);
     if (entry == nullptr) {
         return fallback;
     }
     const auto value = parse_fraction(entry->value);
-    if (!value || !(*value >= 0 && *value <= 1)) {
-        fail(key, "\"" + entry->value + "\" is not a number from 0 to 1");
+    if (!value || !(*value >= least && *value <= most)) {
+        std::ostringstream bounds;
+        bounds << " is not a number from " << least << " to " << most;
+        fail(key, "\"" + entry->value + "\"" + bounds.str());
         return fallback;
     }
     return *value;
@@ -150,6 +159,13 @@
     return entry->value == "true";
 }
 
+runtime::duration
+section_reader::optional_duration(std::string_view key,
+                                  runtime::duration fallback)
+{
+    return section_.find(key) == nullptr ? fallback : required_duration(key);
+}
+
 runtime::duration section_reader::required_duration(std::string_view key)
 {
     constexpr auto fallback = std::chrono::seconds(1);
--- a/packages/node/include/tamarackhoist/node/forwarding.hpp
+++ b/packages/node/include/tamarackhoist/node/forwarding.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <tamarackhoist/callers/forward_exchange.hpp>
 #include <tamarackhoist/node/forward_fields.hpp>
+#include <tamarackhoist/node/relay_client.hpp>
 #include <tamarackhoist/operators/metrics.hpp>
 #include <tamarackhoist/policy/forward_context.hpp>
 #include <tamarackhoist/policy/routing_table.hpp>
@@ -29,8 +30,10 @@
     operators::metrics& metrics;
     /// Returns the connections to an upstream, or nullptr if it is gone.
     std::function<std::shared_ptr<upstreams::forward_pool>(
-        const policy::tracked_upstream&)>
+        const std::string& upstream)>
         pool_of;
+    /// Nullptr for a node without peers.
+    relay_client* relays = nullptr;
 };
 
 /// Forwards one request and answers it. `routes` is the configuration that
--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -10,6 +10,10 @@
 #include <tamarackhoist/callers/forward_server.hpp>
 #include <tamarackhoist/node/forwarding.hpp>
 #include <tamarackhoist/node/gateway_settings.hpp>
+#include <tamarackhoist/node/news_service.hpp>
+#include <tamarackhoist/node/peer_group.hpp>
+#include <tamarackhoist/node/relay_client.hpp>
+#include <tamarackhoist/node/relay_server.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
 #include <tamarackhoist/transport/http_server.hpp>
 
@@ -26,10 +30,16 @@
     using store_factory = std::function<platform::store_calls(
         boost::asio::io_context&, const transport::endpoint& store)>;
 
+    /// What the platform's adapter provides.
+    struct adapter {
+        forward_fields fields;
+        store_factory make_store;
+        platform::item_decoder decode;
+    };
+
     /// Listens on the addresses of `settings`; an error names the address.
     [[nodiscard]] static runtime::result<std::unique_ptr<gateway>, std::string>
-    create(gateway_settings settings, runtime::clock clock,
-           forward_fields fields, const store_factory& make_store);
+    create(gateway_settings settings, runtime::clock clock, adapter adapt);
 
     /// Serves until a graceful shutdown has ended.
     void run();
@@ -46,8 +56,8 @@
     ~gateway();
 
 private:
-    gateway(gateway_settings settings, runtime::clock clock,
-            forward_fields fields, const store_factory& make_store);
+    gateway(gateway_settings settings, runtime::clock clock, adapter adapt,
+            std::uint64_t incarnation);
 
     [[nodiscard]] runtime::result<void, std::string> listen();
     void handle(std::shared_ptr<callers::forward_exchange> exchange);
@@ -59,24 +69,32 @@
     [[nodiscard]] bool has_recent_news() const;
 
     [[nodiscard]] policy::upstream_directory::observer watch_directory();
-    [[nodiscard]] platform::news_follower::observer watch_news();
+    [[nodiscard]] news_service::hooks watch_news();
+    [[nodiscard]] peer_group::hooks watch_peers();
     void take(const platform::news_item& item);
-    void take_list(const std::vector<platform::news_item>& items,
+    void take_changes(const std::vector<policy::store_item>& items);
+    void take_list(const std::vector<policy::store_item>& items,
                    std::uint64_t revision);
-    void take_routes(
-        const std::shared_ptr<const policy::routing_table>& routes);
+    void take_call(const std::shared_ptr<peers::incoming_call>& call);
+    void members_changed();
+    [[nodiscard]] peers::member make_self() const;
+    void
+    take_routes(const std::shared_ptr<const policy::routing_table>& routes);
     void note_unusable(const platform::unusable_value& value);
     void arm_expiry();
     void open_pool(const policy::tracked_upstream& upstream);
     void close_pool(const policy::tracked_upstream& upstream);
     [[nodiscard]] std::size_t
-    connection_share(std::string_view service) const;
+    connection_share(const policy::registered_upstream& upstream) const;
+    [[nodiscard]] std::size_t
+    warm_share(const policy::registered_upstream& upstream) const;
     void set_gauges();
     void continue_shutdown();
     void check_ready();
 
     const gateway_settings settings_;
     const runtime::clock clock_;
+    const std::uint64_t incarnation_;
     boost::asio::io_context io_context_{1};
     operators::metrics metrics_;
     policy::upstream_directory directory_;
@@ -87,7 +105,17 @@
              std::less<>>
         pools_;
     std::map<std::string, std::string, std::less<>> unusable_;
-    std::shared_ptr<platform::news_follower> news_;
+    const platform::item_decoder decode_;
+    relay_client relays_;
+    std::optional<relay_server> relay_server_;
+    std::optional<news_service> news_;
+    std::unique_ptr<peer_group> peers_;
+    /// Live nodes, this one included, by failure domain.
+    std::map<std::string, std::size_t, std::less<>> nodes_by_domain_;
+    std::size_t node_count_ = 1;
+    /// Other nodes of the own failure domain are so much faster that this one
+    /// passes its fan-outs on to them.
+    bool passes_on_own_domain_ = false;
     std::shared_ptr<callers::forward_server> callers_;
     std::shared_ptr<transport::http_server> readiness_;
     std::shared_ptr<transport::http_server> metrics_server_;
--- a/packages/node/include/tamarackhoist/node/gateway_settings.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway_settings.hpp
@@ -21,9 +21,16 @@
     transport::endpoint readiness;
     transport::endpoint metrics;
     transport::endpoint store;
-    /// Nodes among which an upstream's connections and the allowance of extra
-    /// attempts are divided.
-    std::uint32_t expected_nodes = 10;
+    std::string region;
+    /// Address for the other nodes, over TCP and UDP.
+    transport::endpoint peers;
+    /// Addresses of other nodes to contact first.
+    std::vector<transport::endpoint> seeds;
+    /// Part of a core that this node may use.
+    double cores = 1.0;
+    /// Nodes that may be added to the known ones at any time; they get their
+    /// share of an upstream's connections in advance.
+    std::uint32_t spare_nodes = 4;
     /// One-way time between a caller and this node.
     runtime::duration caller_delay = std::chrono::milliseconds(3);
     /// Time between SIGTERM and the end of the process by force.
--- a/packages/node/src/forward_message.cpp
+++ b/packages/node/src/forward_message.cpp
@@ -122,8 +122,38 @@
     return std::chrono::milliseconds(milliseconds);
 }
 
-attempt_result classify(const transport::http_response& response,
-                        const forward_fields& fields, bool is_fan_out)
+upstreams::forward_request
+make_forward_request(const request_parts& request,
+                     const std::string& upstream_id, runtime::duration left,
+                     const forward_fields& fields)
+{
+    using std::chrono::milliseconds;
+    constexpr std::size_t punctuation_bytes = 32;
+    const auto left_ms = std::max<std::int64_t>(
+        1, std::chrono::ceil<milliseconds>(left).count());
+    upstreams::forward_request made;
+    made.request_id = request.request_id;
+    made.is_head = request.is_head;
+    auto& bytes = made.bytes;
+    bytes.reserve(request.head.size() + request.body.size() +
+                  fields.time_left_ms.size() +
+                  fields.expected_upstream.size() + upstream_id.size() +
+                  punctuation_bytes);
+    bytes.append(request.head);
+    bytes.append(fields.time_left_ms).append(": ");
+    bytes.append(std::to_string(left_ms)).append("\r\n");
+    bytes.append(fields.expected_upstream).append(": ");
+    bytes.append(upstream_id).append("\r\n\r\n");
+    bytes.append(request.body);
+    return made;
+}
+
+namespace
+{
+
+attempt_result classify_response(const transport::http_response& response,
+                                 const forward_fields& fields,
+                                 bool is_fan_out)
 {
     const auto status = response.result_int();
     if (status == status_misdirected ||
@@ -144,6 +174,22 @@
     return attempt_result::answered;
 }
 
+} // namespace
+
+attempt_result classify(const upstreams::forward_result& result,
+                        const forward_fields& fields, bool is_fan_out)
+{
+    switch (result.status) {
+    case upstreams::forward_status::answered:
+        return classify_response(result.response, fields, is_fan_out);
+    case upstreams::forward_status::not_sent:
+        return attempt_result::not_sent;
+    case upstreams::forward_status::broken:
+        return attempt_result::broken;
+    }
+    return attempt_result::broken;
+}
+
 forward_answer make_answer(const transport::http_response& response)
 {
     forward_answer answer;
@@ -160,27 +206,24 @@
     return answer;
 }
 
-forward_answer
-make_merged_answer(std::span<const transport::http_response* const> parts,
-                   std::size_t missing, std::size_t top_records,
-                   const forward_fields& fields)
+forward_answer make_merged_answer(const merged_parts& parts,
+                                  std::size_t missing,
+                                  std::size_t top_records,
+                                  const forward_fields& fields)
 {
     std::string digests;
-    std::vector<std::string_view> bodies;
-    bodies.reserve(parts.size());
-    for (const auto* part : parts) {
+    for (const auto digest : parts.digests) {
         if (!digests.empty()) {
             digests.append(", ");
         }
-        digests.append(to_text((*part)[fields.digest]));
-        bodies.emplace_back(part->body());
+        digests.append(digest);
     }
     forward_answer answer;
     answer.status = static_cast<unsigned>(http::status::ok);
     answer.reason = "OK";
     answer.fields.push_back({fields.shard_digests, std::move(digests)});
     answer.fields.push_back({fields.missing_shards, std::to_string(missing)});
-    answer.body = policy::merge_records(bodies, top_records);
+    answer.body = policy::merge_records(parts.records, top_records);
     return answer;
 }
 
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -25,6 +25,10 @@
 /// answer, and two more to open a connection.
 constexpr int trips_on_kept_connection = 2;
 constexpr int trips_on_new_connection = 4;
+/// Shards of one call to a relay; more are shared out among several nodes.
+constexpr std::size_t max_shards_of_call = 24;
+/// Time for a relay's report beyond its gathering.
+constexpr duration relay_patience = std::chrono::milliseconds(12);
 /// One in this many complete requests is logged, chosen by its identity.
 constexpr std::uint64_t sampled_one_in = 64;
 
@@ -71,7 +75,8 @@
       exchange_(std::move(exchange)), times_(make_times()),
       head_(make_request_head(exchange_->request(), shared_->fields)),
       request_id_(exchange_->request()[shared_->fields.request_id]),
-      timer_(shared_->io_context)
+      timer_(shared_->io_context), silence_timer_(shared_->io_context),
+      parts_(route_.shards.size())
 {
 }
 
@@ -112,7 +117,7 @@
     exchange_->on_abandoned([weak] {
         if (const auto request = weak.lock()) {
             request->coordinator_->abandon(request->shared_->clock.now());
-            request->timer_.cancel();
+            request->decided();
             request->shared_->metrics.count(
                 {"tamarackhoist_requests_abandoned_total", ""});
         }
@@ -123,10 +128,16 @@
         shared_->context, shared_->directory, route_, std::move(services),
         times_,
         policy::forward_coordinator::hooks{
-            .send = [this](attempt_key key,
-                           const policy::upstream_handle& upstream) {
-                send(key, upstream);
-            },
+            .send =
+                [this](attempt_key key,
+                       const policy::upstream_handle& upstream) {
+                    auto& attempts = attempts_[key.shard];
+                    attempts.resize(
+                        std::max(attempts.size(), key.attempt + 1));
+                    const auto& registration = upstream->registration;
+                    outbox_.push_back({key, registration.id,
+                                       registration.failure_domain});
+                },
             .cancel = [this](attempt_key key) { cancel(key); },
             .finish = [this](forward_outcome outcome) { finish(outcome); },
             .decided =
@@ -134,41 +145,75 @@
                     log_decision(decision);
                 }});
     coordinator_->start(shared_->clock.now());
+    decided();
+}
+
+void forwarded_request::decided()
+{
+    flush_cancellations();
+    flush_outbox();
     arm_timer();
 }
 
-upstreams::forward_request
-forwarded_request::make_request(const std::string& upstream_id) const
+void forwarded_request::flush_outbox()
 {
-    using std::chrono::milliseconds;
-    const auto left = runtime::non_negative(times_.deadline -
-                                            shared_->clock.now());
-    const auto left_ms =
-        std::max<std::int64_t>(1, std::chrono::ceil<milliseconds>(left).count());
-    const auto& fields = shared_->fields;
-    upstreams::forward_request request;
-    request.request_id = request_id_;
-    request.is_head = exchange_->request().method() == http::verb::head;
-    auto& bytes = request.bytes;
-    bytes.reserve(head_.size() + exchange_->request().body().size() +
-                  fields.time_left_ms.size() +
-                  fields.expected_upstream.size() + upstream_id.size() + 32);
-    bytes.append(head_);
-    bytes.append(fields.time_left_ms).append(": ");
-    bytes.append(std::to_string(left_ms)).append("\r\n");
-    bytes.append(fields.expected_upstream).append(": ");
-    bytes.append(upstream_id).append("\r\n\r\n");
-    bytes.append(exchange_->request().body());
-    return request;
+    auto outgoing = std::exchange(outbox_, {});
+    if (coordinator_->is_finished()) {
+        return;
+    }
+    if (!route_.is_fan_out() || shared_->relays == nullptr) {
+        for (const auto& each : outgoing) {
+            send_directly(each);
+        }
+        return;
+    }
+    std::stable_sort(outgoing.begin(), outgoing.end(),
+                     [](const outgoing_attempt& left,
+                        const outgoing_attempt& right) {
+                         return left.failure_domain < right.failure_domain;
+                     });
+    const std::span<const outgoing_attempt> all(outgoing);
+    std::size_t begin = 0;
+    while (begin < all.size()) {
+        const auto end = std::find_if(
+            all.begin() + static_cast<std::ptrdiff_t>(begin), all.end(),
+            [&](const outgoing_attempt& each) {
+                return each.failure_domain != all[begin].failure_domain;
+            });
+        const auto size =
+            static_cast<std::size_t>(end - all.begin()) - begin;
+        send_to_domain(all.subspan(begin, size));
+        begin += size;
+    }
+    is_first_send_ = false;
+}
+
+void forwarded_request::send_to_domain(
+    std::span<const outgoing_attempt> attempts)
+{
+    const auto calls =
+        (attempts.size() + max_shards_of_call - 1) / max_shards_of_call;
+    for (std::size_t call = 0; call < calls; ++call) {
+        const auto begin = attempts.size() * call / calls;
+        const auto end = attempts.size() * (call + 1) / calls;
+        const auto part = attempts.subspan(begin, end - begin);
+        const auto relay = shared_->relays->choose(
+            part.front().failure_domain, part.size());
+        if (relay) {
+            send_through(*relay, part);
+            continue;
+        }
+        for (const auto& each : part) {
+            send_directly(each);
+        }
+    }
 }
 
-void forwarded_request::send(attempt_key key,
-                             const policy::upstream_handle& upstream)
+void forwarded_request::send_directly(const outgoing_attempt& outgoing)
 {
-    auto& attempts = attempts_[key.shard];
-    attempts.resize(std::max(attempts.size(), key.attempt + 1));
+    const auto key = outgoing.key;
     auto self = shared_from_this();
-    const auto pool = shared_->pool_of(*upstream);
+    const auto pool = shared_->pool_of(outgoing.upstream);
     if (pool == nullptr) {
         boost::asio::post(shared_->io_context, [self, key] {
             self->ended(key, {upstreams::forward_status::not_sent, {}});
@@ -178,50 +223,167 @@
     const auto use = route_.repeat == policy::repeatability::idempotent
                          ? upstreams::connection_use::any
                          : upstreams::connection_use::fresh;
-    attempts[key.attempt].pool = pool;
-    attempts[key.attempt].ticket = pool->send(
+    auto& running = attempt(key);
+    running.pool = pool;
+    running.ticket = pool->send(
         route_.priority, use,
-        [self, id = upstream->registration.id] {
-            return self->make_request(id);
+        [self, id = outgoing.upstream] {
+            const auto& request = self->exchange_->request();
+            return make_forward_request(
+                {self->head_, request.body(), self->request_id_,
+                 request.method() == http::verb::head},
+                id, self->times_.deadline - self->shared_->clock.now(),
+                self->shared_->fields);
         },
         [self, key](upstreams::forward_result result) {
             self->ended(key, std::move(result));
         });
 }
 
+void forwarded_request::send_through(
+    policy::node_id relay, std::span<const outgoing_attempt> attempts)
+{
+    const auto now = shared_->clock.now();
+    const auto index = relay_calls_.size();
+    relay_call call;
+    call.started = now;
+    call.is_gathering = is_first_send_;
+    peers::relay_request request;
+    request.request_id = request_id_;
+    request.head = head_;
+    request.body = exchange_->request().body();
+    request.priority = route_.priority;
+    request.remaining = runtime::non_negative(times_.deadline - now);
+    request.top_records = route_.top_records;
+    if (is_first_send_) {
+        // Later answers come one by one: a shard that was asked twice can
+        // only be told apart there.
+        request.gather = coordinator_->hedge_delay();
+        arm_silence_timer(request.gather + relay_patience);
+    }
+    for (const auto& each : attempts) {
+        call.keys.push_back(each.key);
+        attempt(each.key).relay_call = index;
+        request.targets.push_back(
+            {static_cast<std::uint32_t>(each.key.shard), each.upstream});
+    }
+    auto self = shared_from_this();
+    call.id = shared_->relays->call(
+        relay, std::move(request),
+        {[self, index](const peers::relay_reply& reply) {
+             self->relay_replied(index, reply);
+         },
+         [self, index](bool) { self->relay_lost(index); }});
+    relay_calls_.push_back(std::move(call));
+}
+
+void forwarded_request::relay_replied(std::size_t call,
+                                      const peers::relay_reply& reply)
+{
+    auto& replied = relay_calls_[call];
+    if (replied.is_over || coordinator_->is_finished()) {
+        return;
+    }
+    replied.is_heard = true;
+    parts_.add(reply);
+    const auto now = shared_->clock.now();
+    const auto keys = replied.keys;
+    for (const auto& part : reply.parts) {
+        const auto key = std::find_if(
+            keys.begin(), keys.end(),
+            [&](attempt_key each) { return each.shard == part.shard; });
+        if (key != keys.end()) {
+            coordinator_->attempt_ended(*key, part.result, part.elapsed, now);
+        }
+    }
+    decided();
+}
+
+void forwarded_request::relay_lost(std::size_t call)
+{
+    auto& lost = relay_calls_[call];
+    if (std::exchange(lost.is_over, true) || coordinator_->is_finished()) {
+        return;
+    }
+    // Attempts that have ended already are not changed by this.
+    const auto keys = lost.keys;
+    const auto now = shared_->clock.now();
+    for (const auto key : keys) {
+        coordinator_->attempt_ended(key, attempt_result::unreachable, now);
+    }
+    decided();
+}
+
+void forwarded_request::arm_silence_timer(duration delay)
+{
+    auto self = shared_from_this();
+    silence_timer_.expires_after(delay);
+    silence_timer_.async_wait([self](boost::system::error_code error) {
+        if (!error) {
+            self->check_silence();
+        }
+    });
+}
+
+void forwarded_request::check_silence()
+{
+    const auto now = shared_->clock.now();
+    for (std::size_t call = 0; call < relay_calls_.size(); ++call) {
+        const auto& each = relay_calls_[call];
+        if (each.is_over || each.is_heard || !each.is_gathering ||
+            coordinator_->is_finished()) {
+            continue;
+        }
+        shared_->relays->report_silence(each.id, request_id_,
+                                        now - each.started);
+        shared_->relays->cancel(each.id, {});
+        relay_lost(call);
+    }
+}
+
 void forwarded_request::cancel(attempt_key key)
 {
-    auto& cancelled = attempts_[key.shard][key.attempt];
+    auto& cancelled = attempt(key);
+    if (cancelled.relay_call) {
+        cancellations_[*cancelled.relay_call].push_back(
+            static_cast<std::uint32_t>(key.shard));
+        return;
+    }
     if (const auto pool = cancelled.pool.lock()) {
         pool->cancel(cancelled.ticket);
     }
 }
 
+void forwarded_request::flush_cancellations()
+{
+    for (auto& [call, shards] : std::exchange(cancellations_, {})) {
+        if (!relay_calls_[call].is_over) {
+            shared_->relays->cancel(relay_calls_[call].id, std::move(shards));
+        }
+    }
+}
+
 void forwarded_request::ended(attempt_key key,
                               upstreams::forward_result result)
 {
-    auto outcome = attempt_result::broken;
-    switch (result.status) {
-    case upstreams::forward_status::answered:
-        outcome =
-            classify(result.response, shared_->fields, route_.is_fan_out());
-        attempts_[key.shard][key.attempt].response =
-            std::move(result.response);
-        break;
-    case upstreams::forward_status::not_sent:
-        outcome = attempt_result::not_sent;
-        break;
-    case upstreams::forward_status::broken:
-        break;
+    const auto outcome =
+        classify(result, shared_->fields, route_.is_fan_out());
+    if (!route_.is_fan_out()) {
+        attempt(key).response = std::move(result.response);
+    } else if (outcome == attempt_result::answered) {
+        parts_.add(key.shard,
+                   std::string(result.response[shared_->fields.digest]),
+                   std::move(result.response.body()));
     }
     coordinator_->attempt_ended(key, outcome, shared_->clock.now());
-    arm_timer();
+    decided();
 }
 
 void forwarded_request::arm_timer()
 {
     if (coordinator_->is_finished()) {
         timer_.cancel();
+        silence_timer_.cancel();
         return;
     }
     if (coordinator_->next_wake() == armed_for_) {
@@ -237,10 +399,16 @@
         }
         self->armed_for_ = {};
         self->coordinator_->wake(self->shared_->clock.now());
-        self->arm_timer();
+        self->decided();
     });
 }
 
+forwarded_request::running_attempt&
+forwarded_request::attempt(attempt_key key)
+{
+    return attempts_[key.shard][key.attempt];
+}
+
 const forwarded_request::running_attempt&
 forwarded_request::attempt(attempt_key key) const
 {
@@ -266,13 +434,9 @@
     if (!route_.is_fan_out()) {
         return make_answer(*attempt(*coordinator_->winner(0)).response);
     }
-    std::vector<const transport::http_response*> parts;
-    for (std::size_t index = 0; index < attempts_.size(); ++index) {
-        if (const auto winner = coordinator_->winner(index)) {
-            parts.push_back(&*attempt(*winner).response);
-        }
-    }
-    return make_merged_answer(parts, attempts_.size() - parts.size(),
+    const auto merged = parts_.merge();
+    return make_merged_answer(merged,
+                              attempts_.size() - merged.digests.size(),
                               route_.top_records, shared_->fields);
 }
 
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -32,6 +32,20 @@
             {}};
 }
 
+std::uint64_t microseconds_since_epoch()
+{
+    using namespace std::chrono;
+    return static_cast<std::uint64_t>(
+        duration_cast<microseconds>(system_clock::now().time_since_epoch())
+            .count());
+}
+
+std::uint32_t thousandths(double cores)
+{
+    constexpr double thousand = 1000.0;
+    return static_cast<std::uint32_t>(cores * thousand);
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -40,41 +54,41 @@
 } // namespace
 
 runtime::result<std::unique_ptr<gateway>, std::string>
-gateway::create(gateway_settings settings, runtime::clock clock,
-                forward_fields fields, const store_factory& make_store)
+gateway::create(gateway_settings settings, runtime::clock clock, adapter adapt)
 {
     std::unique_ptr<gateway> created(
-        new gateway(std::move(settings), std::move(clock), std::move(fields),
-                    make_store));
+        new gateway(std::move(settings), std::move(clock), std::move(adapt),
+                    microseconds_since_epoch()));
     BOOST_OUTCOME_TRY(created->listen());
     return created;
 }
 
 gateway::gateway(gateway_settings settings, runtime::clock clock,
-                 forward_fields fields, const store_factory& make_store)
+                 adapter adapt, std::uint64_t incarnation)
     : settings_(std::move(settings)), clock_(std::move(clock)),
-      directory_(watch_directory()),
+      incarnation_(incarnation), directory_(watch_directory()),
       context_(settings_.failure_domain,
                {.ratio = settings_.extra_attempt_ratio,
-                .allowance =
-                    static_cast<double>(settings_.extra_attempt_allowance) /
-                    settings_.expected_nodes,
+                .allowance = 0.0,
                 .window = settings_.extra_attempt_window},
                policy::hash_text(settings_.name), clock_.now()),
+      decode_(std::move(adapt.decode)),
+      relays_(settings_.failure_domain, thousandths(settings_.cores),
+              incarnation, clock_),
       expiry_timer_(io_context_), shutdown_timer_(io_context_)
 {
     forwarding_ = std::make_shared<forwarding>(forwarding{
-        io_context_, clock_, std::move(fields), settings_.caller_delay,
+        io_context_, clock_, std::move(adapt.fields), settings_.caller_delay,
         context_, directory_, metrics_,
-        [this](const policy::tracked_upstream& upstream) {
-            const auto found = pools_.find(upstream.registration.id);
+        [this](const std::string& upstream) {
+            const auto found = pools_.find(upstream);
             return found == pools_.end() ? nullptr : found->second;
-        }});
-    platform::news_follower::options options;
-    options.random_seed = policy::hash_text(settings_.name);
-    news_ = std::make_shared<platform::news_follower>(
-        io_context_, clock_, options, make_store(io_context_, settings_.store),
-        watch_news());
+        },
+        &relays_});
+    relay_server_.emplace(forwarding_);
+    news_.emplace(io_context_, clock_,
+                  adapt.make_store(io_context_, settings_.store),
+                  policy::hash_text(settings_.name), watch_news());
 }
 
 gateway::~gateway() = default;
@@ -91,6 +105,10 @@
             [this](std::shared_ptr<callers::forward_exchange> exchange) {
                 handle(std::move(exchange));
             }));
+    BOOST_OUTCOME_TRY(peers_, peer_group::create(io_context_, clock_, metrics_,
+                                                 make_self(), settings_.seeds,
+                                                 watch_peers()));
+    relays_.start(*peers_);
     const auto answer = [this](const transport::http_request& request,
                                const transport::http_server::respond& respond) {
         answer_operator(request, respond);
@@ -111,7 +129,8 @@
     callers_->start();
     readiness_->start();
     metrics_server_->start();
-    news_->start();
+    peers_->start();
+    news_->start(*peers_);
     io_context_.run();
     log_event(event_number::node_stopped, settings_.name);
 }
@@ -127,6 +146,7 @@
                       std::to_string(callers_->requests_in_flight()));
         shutdown_at_ = clock_.now();
         callers_->start_draining();
+        peers_->leave();
         continue_shutdown();
     });
 }
@@ -145,7 +165,8 @@
         callers_->close_idle();
     }
     const bool is_done =
-        elapsed >= balancer_lag && callers_->requests_in_flight() == 0;
+        elapsed >= balancer_lag && callers_->requests_in_flight() == 0 &&
+        relay_server_->open_calls() == 0;
     if (is_done || elapsed >= settings_.shutdown_grace - shutdown_margin) {
         io_context_.stop();
         return;
@@ -255,29 +276,93 @@
     }
 }
 
-platform::news_follower::observer gateway::watch_news()
+peers::member gateway::make_self() const
 {
-    return {.listed = [this](const std::vector<platform::news_item>& items,
-                             std::uint64_t revision) {
-                take_list(items, revision);
-            },
+    peers::member self;
+    self.name = settings_.name;
+    self.where = settings_.peers;
+    self.failure_domain = settings_.failure_domain;
+    self.region = settings_.region;
+    self.incarnation = incarnation_;
+    self.capacity = thousandths(settings_.cores);
+    return self;
+}
+
+peer_group::hooks gateway::watch_peers()
+{
+    return {.on_change = [this] { members_changed(); },
+            .on_call =
+                [this](const std::shared_ptr<peers::incoming_call>& call) {
+                    take_call(call);
+                }};
+}
+
+void gateway::take_call(const std::shared_ptr<peers::incoming_call>& call)
+{
+    switch (call->path()) {
+    case peers::call_path::relay:
+    case peers::call_path::relay_cancel:
+        relay_server_->take_call(call);
+        return;
+    case peers::call_path::news_pull:
+    case peers::call_path::news_push:
+        news_->take_call(call);
+        return;
+    default:
+        log_event(event_number::peer_message_rejected,
+                  "call " + std::string(peers::to_path(call->path())) +
+                      " is not for this role");
+        call->finish();
+        return;
+    }
+}
+
+void gateway::members_changed()
+{
+    if (peers_ == nullptr) {
+        return;
+    }
+    nodes_by_domain_.clear();
+    nodes_by_domain_[settings_.failure_domain] = 1;
+    node_count_ = 1;
+    for (const auto& each : peers_->live_peers()) {
+        ++nodes_by_domain_[each.failure_domain];
+        ++node_count_;
+    }
+    context_.set_allowance(
+        static_cast<double>(settings_.extra_attempt_allowance) /
+        static_cast<double>(node_count_ + settings_.spare_nodes));
+    relays_.members_changed();
+    passes_on_own_domain_ =
+        relays_.choose(settings_.failure_domain, 1).has_value();
+    news_->members_changed();
+}
+
+news_service::hooks gateway::watch_news()
+{
+    return {.listed =
+                [this](const std::vector<policy::store_item>& items,
+                       std::uint64_t revision) { take_list(items, revision); },
             .changed =
-                [this](const std::vector<platform::news_item>& items) {
-                    for (const auto& item : items) {
-                        take(item);
-                    }
-                    arm_expiry();
+                [this](const std::vector<policy::store_item>& items) {
+                    take_changes(items);
                 },
-            .regained =
-                [this] {
-                    log_event(event_number::platform_regained, {});
-                    directory_.store_returned(clock_.now());
+            .grace =
+                [this](duration left) {
+                    directory_.extend_grace(clock_.now() + left);
                 },
-            .lost =
-                [](platform::store_error error) {
-                    log_event(event_number::platform_read_failed,
-                              platform::to_string(error));
-                }};
+            .grace_left =
+                [this] { return directory_.grace_left(clock_.now()); }};
+}
+
+void gateway::take_changes(const std::vector<policy::store_item>& items)
+{
+    for (const auto& each : items) {
+        if (const auto item = decode_(each)) {
+            take(*item);
+        }
+    }
+    arm_expiry();
 }
 
 void gateway::take(const platform::news_item& item)
@@ -298,17 +383,21 @@
     }
 }
 
-void gateway::take_list(const std::vector<platform::news_item>& items,
+void gateway::take_list(const std::vector<policy::store_item>& items,
                         std::uint64_t revision)
 {
     std::vector<policy::registered_upstream> entries;
-    for (const auto& item : items) {
+    for (const auto& each : items) {
+        const auto item = decode_(each);
+        if (!item) {
+            continue;
+        }
         if (const auto* registered =
-                std::get_if<platform::upstream_registered>(&item)) {
+                std::get_if<platform::upstream_registered>(&*item)) {
             entries.push_back(registered->entry);
             continue;
         }
-        take(item);
+        take(*item);
     }
     directory_.replace_all(entries, revision, clock_.now());
     arm_expiry();
@@ -381,11 +470,27 @@
                 }};
 }
 
-std::size_t gateway::connection_share(std::string_view service) const
+std::size_t gateway::connection_share(
+    const policy::registered_upstream& upstream) const
 {
-    const auto* known = routes_ ? routes_->find_service(service) : nullptr;
+    const auto* known =
+        routes_ ? routes_->find_service(upstream.service) : nullptr;
     const auto cap = known != nullptr ? known->max_connections : 1U;
-    return std::max<std::size_t>(1, cap / settings_.expected_nodes);
+    // Parts of fan-outs reach an upstream from its own failure domain only;
+    // other nodes connect when no node is there, or for other requests.
+    const bool is_near = upstream.failure_domain == settings_.failure_domain;
+    const auto near = nodes_by_domain_.find(upstream.failure_domain);
+    const auto count = is_near && near != nodes_by_domain_.end()
+                           ? near->second
+                           : node_count_;
+    return std::max<std::size_t>(1, cap / (count + settings_.spare_nodes));
+}
+
+std::size_t gateway::warm_share(
+    const policy::registered_upstream& upstream) const
+{
+    const bool is_near = upstream.failure_domain == settings_.failure_domain;
+    return is_near && !passes_on_own_domain_ ? warm_connections : 0;
 }
 
 void gateway::open_pool(const policy::tracked_upstream& upstream)
@@ -398,8 +503,10 @@
     const upstreams::forward_pool::options options{
         .connection = {.target = {registration.address, registration.port},
                        .request_id_field = forwarding_->fields.request_id},
-        .max_connections = connection_share(registration.service),
-        .warm_connections = warm_connections};
+        .max_connections =
+            [this, registration] { return connection_share(registration); },
+        .warm_connections =
+            [this, registration] { return warm_share(registration); }};
     const auto pool = std::make_shared<upstreams::forward_pool>(
         io_context_, clock_, options);
     pools_[registration.id] = pool;
--- a/packages/node/src/gateway_settings.cpp
+++ b/packages/node/src/gateway_settings.cpp
@@ -12,12 +12,15 @@
 {
 
 constexpr std::uint64_t max_nodes = 10'000;
+constexpr double max_cores = 1024.0;
 constexpr std::uint64_t max_allowance = 1'000'000;
 
 void read_node(section_reader& reader, gateway_settings& settings)
 {
     settings.name = reader.required_text("id");
     settings.failure_domain = reader.required_text("failure_domain");
+    settings.region = reader.optional_text("region");
+    settings.cores = reader.optional_real("cores", 0.0, max_cores, 1.0);
     settings.shutdown_grace = reader.required_duration("shutdown_grace");
 }
 
@@ -27,12 +30,14 @@
     settings.readiness = read_endpoint(reader, "readiness");
     settings.metrics = read_endpoint(reader, "metrics");
     settings.store = read_endpoint(reader, "store");
+    settings.peers = read_endpoint(reader, "peers");
+    settings.seeds = read_endpoints(reader, "seeds");
 }
 
 void read_fleet(section_reader& reader, gateway_settings& settings)
 {
-    settings.expected_nodes = static_cast<std::uint32_t>(reader.optional_number(
-        "expected_nodes", 1, max_nodes, settings.expected_nodes));
+    settings.spare_nodes = static_cast<std::uint32_t>(reader.optional_number(
+        "spare_nodes", 0, max_nodes, settings.spare_nodes));
     settings.caller_delay = reader.required_duration("caller_delay");
     settings.news_age = reader.required_duration("news_age");
 }
--- /dev/null
+++ b/packages/node/src/relayed_call.hpp
@@ -0,0 +1,60 @@
+#ifndef TAMARACKHOIST_NODE_RELAYED_CALL_HPP
+#define TAMARACKHOIST_NODE_RELAYED_CALL_HPP
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <tamarackhoist/node/forwarding.hpp>
+#include <tamarackhoist/peers/peer_server.hpp>
+#include <tamarackhoist/peers/relay_codec.hpp>
+#include <vector>
+
+namespace tamarackhoist::node
+{
+
+/// One part of another node's fan-out. The first reply gathers the answers
+/// of a short time, with their records merged; each later answer gets a
+/// reply of its own, so that its sender can leave it out.
+class relayed_call : public std::enable_shared_from_this<relayed_call>
+{
+public:
+    relayed_call(std::shared_ptr<forwarding> shared,
+                 std::shared_ptr<peers::incoming_call> call,
+                 peers::relay_request request, std::function<void()> over);
+
+    void start();
+    /// Gives up some shards, or every shard if none is named.
+    void cancel(std::span<const std::uint32_t> shards);
+
+private:
+    struct attempt {
+        std::weak_ptr<upstreams::forward_pool> pool;
+        upstreams::forward_pool::ticket ticket = 0;
+        bool is_open = true;
+    };
+
+    void send(std::size_t index);
+    void ended(std::size_t index, upstreams::forward_result result);
+    void arm_gather_timer();
+    void flush();
+    void close_if_done();
+
+    const std::shared_ptr<forwarding> shared_;
+    const std::shared_ptr<peers::incoming_call> call_;
+    const peers::relay_request request_;
+    const runtime::time_point started_;
+    const runtime::time_point deadline_;
+    std::function<void()> over_;
+    boost::asio::steady_timer timer_;
+    std::vector<attempt> attempts_;
+    std::size_t open_ = 0;
+    std::vector<peers::relay_part> parts_;
+    std::vector<std::string> bodies_;
+    bool is_gathering_ = false;
+};
+
+} // namespace tamarackhoist::node
+
+#endif
--- a/packages/node/src/settings_reader.cpp
+++ b/packages/node/src/settings_reader.cpp
@@ -1,5 +1,6 @@
 #include "settings_reader.hpp"
 
+#include <optional>
 #include <set>
 
 namespace tamarackhoist::node
@@ -65,19 +66,47 @@
     return errors;
 }
 
+namespace
+{
+
+std::optional<transport::endpoint> parse_endpoint(section_reader& reader,
+                                                  std::string_view key,
+                                                  const std::string& text)
+{
+    auto parsed = transport::endpoint::parse(text);
+    if (!parsed) {
+        reader.fail(key,
+                    "\"" + text + "\" is not of the form ADDRESS:PORT");
+    }
+    return parsed;
+}
+
+} // namespace
+
 transport::endpoint read_endpoint(section_reader& reader, std::string_view key)
 {
     const auto text = reader.required_text(key);
-    const auto parsed = transport::endpoint::parse(text);
-    if (!parsed) {
-        if (!text.empty()) {
-            reader.fail(key, "\"" + text +
-                                 "\" is not of the form "
-                                 "ADDRESS:PORT");
-        }
+    if (text.empty()) {
+        // Reported by the reader already.
         return {};
     }
-    return *parsed;
+    return parse_endpoint(reader, key, text).value_or(transport::endpoint{});
+}
+
+std::vector<transport::endpoint> read_endpoints(section_reader& reader,
+                                                std::string_view key)
+{
+    std::vector<transport::endpoint> endpoints;
+    const auto text = reader.optional_text(key);
+    if (text.empty()) {
+        return endpoints;
+    }
+    for (const auto& each : document::split_list(text)) {
+        if (auto parsed = parse_endpoint(reader, key, each)) {
+            endpoints.push_back(std::move(*parsed));
+        }
+    }
+    return endpoints;
 }
 
 } // namespace tamarackhoist::node
--- a/packages/node/src/settings_reader.hpp
+++ b/packages/node/src/settings_reader.hpp
@@ -27,6 +27,10 @@
 [[nodiscard]] transport::endpoint
 read_endpoint(document::section_reader& reader, std::string_view key);
 
+/// Reads a list of addresses, which may be empty.
+[[nodiscard]] std::vector<transport::endpoint>
+read_endpoints(document::section_reader& reader, std::string_view key);
+
 } // namespace tamarackhoist::node
 
 #endif
--- a/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
+++ b/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
@@ -26,6 +26,13 @@
     document,
     push,
     members,
+    /// Sends part of a fan-out to upstreams near the receiver.
+    relay,
+    relay_cancel,
+    /// Asks for all news that the receiver knows.
+    news_pull,
+    /// Passes news on.
+    news_push,
     unknown
 };
 
--- a/packages/peers/include/tamarackhoist/peers/member.hpp
+++ b/packages/peers/include/tamarackhoist/peers/member.hpp
@@ -34,6 +34,8 @@
     member_state state = member_state::alive;
     /// Raised by the member itself to contradict a wrong belief about it.
     std::uint32_t refutation = 0;
+    /// Thousandths of a core that the node may use; 0 if it did not say.
+    std::uint32_t capacity = 0;
 
     [[nodiscard]] policy::node_id id() const
     {
--- a/packages/peers/src/gossip_message.cpp
+++ b/packages/peers/src/gossip_message.cpp
@@ -18,6 +18,7 @@
     to.set_incarnation(from.incarnation);
     to.set_state(static_cast<std::uint32_t>(from.state));
     to.set_refutation(from.refutation);
+    to.set_capacity(from.capacity);
 }
 
 std::optional<member> decode_member(const wire::Member& from)
@@ -37,7 +38,7 @@
         from.name(),           *where,
         from.failure_domain(), from.region(),
         from.incarnation(),    static_cast<member_state>(from.state()),
-        from.refutation()};
+        from.refutation(),     from.capacity()};
 }
 
 } // namespace
--- a/packages/peers/src/http2_channel.cpp
+++ b/packages/peers/src/http2_channel.cpp
@@ -36,6 +36,10 @@
     named_path{call_path::document, "/v1/document"},
     named_path{call_path::push, "/v1/push"},
     named_path{call_path::members, "/v1/members"},
+    named_path{call_path::relay, "/v1/relay"},
+    named_path{call_path::relay_cancel, "/v1/relay-cancel"},
+    named_path{call_path::news_pull, "/v1/news"},
+    named_path{call_path::news_push, "/v1/news-push"},
 };
 
 std::string frame(const std::string& message)
--- a/packages/peers/src/peer_codec.cpp
+++ b/packages/peers/src/peer_codec.cpp
@@ -1,6 +1,6 @@
 #include <tamarackhoist/peers/peer_codec.hpp>
 
-#include <algorithm>
+#include "codec_support.hpp"
 #include <peer_messages.pb.h>
 #include <tamarackhoist/peers/gossip_message.hpp>
 
@@ -10,27 +10,6 @@
 namespace
 {
 
-std::uint64_t to_microseconds(runtime::duration value)
-{
-    const auto count =
-        std::chrono::duration_cast<std::chrono::microseconds>(value).count();
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
-}
-
-/// Longest duration that a peer may state.
-constexpr std::uint64_t max_microseconds = 3'600'000'000;
-
-runtime::duration from_microseconds(std::uint64_t value)
-{
-    return std::chrono::microseconds(std::min(value, max_microseconds));
-}
-
-template <typename Message>
-bool parse(std::string_view text, Message& message)
-{
-    return message.ParseFromArray(text.data(), static_cast<int>(text.size()));
-}
-
 bool is_valid(const wire::KeyRange& range)
 {
     return range.begin() <= range.end() && range.end() <= policy::key_space_end;
--- /dev/null
+++ b/packages/peers/src/relay_codec.cpp
@@ -0,0 +1,112 @@
+#include <tamarackhoist/peers/relay_codec.hpp>
+
+#include "codec_support.hpp"
+#include <peer_messages.pb.h>
+#include <tamarackhoist/peers/gossip_message.hpp>
+
+namespace tamarackhoist::peers
+{
+
+std::string encode_relay_request(const relay_request& request)
+{
+    wire::RelayRequest encoded;
+    encoded.set_protocol(protocol_version);
+    encoded.set_sender(request.sender);
+    encoded.set_call(request.call);
+    encoded.set_request_id(request.request_id);
+    encoded.set_head(request.head);
+    encoded.set_body(request.body);
+    encoded.set_priority(request.priority);
+    encoded.set_remaining_us(to_microseconds(request.remaining));
+    for (const auto& each : request.targets) {
+        auto* target = encoded.add_targets();
+        target->set_shard(each.shard);
+        target->set_upstream(each.upstream);
+    }
+    encoded.set_top_records(static_cast<std::uint32_t>(request.top_records));
+    encoded.set_gather_us(to_microseconds(request.gather));
+    return encoded.SerializeAsString();
+}
+
+std::optional<relay_request> decode_relay_request(std::string_view message)
+{
+    wire::RelayRequest encoded;
+    if (!parse(message, encoded) || encoded.protocol() != protocol_version) {
+        return std::nullopt;
+    }
+    relay_request request;
+    request.sender = encoded.sender();
+    request.call = encoded.call();
+    request.request_id = std::move(*encoded.mutable_request_id());
+    request.head = std::move(*encoded.mutable_head());
+    request.body = std::move(*encoded.mutable_body());
+    request.priority = encoded.priority();
+    request.remaining = from_microseconds(encoded.remaining_us());
+    request.targets.reserve(static_cast<std::size_t>(encoded.targets_size()));
+    for (auto& each : *encoded.mutable_targets()) {
+        request.targets.push_back(
+            {each.shard(), std::move(*each.mutable_upstream())});
+    }
+    request.top_records = encoded.top_records();
+    request.gather = from_microseconds(encoded.gather_us());
+    return request;
+}
+
+std::string encode_relay_reply(const relay_reply& reply)
+{
+    wire::RelayReply encoded;
+    for (const auto& each : reply.parts) {
+        auto* part = encoded.add_parts();
+        part->set_shard(each.shard);
+        part->set_result(static_cast<std::uint32_t>(each.result));
+        part->set_digest(each.digest);
+        part->set_elapsed_us(to_microseconds(each.elapsed));
+    }
+    encoded.set_records(reply.records);
+    return encoded.SerializeAsString();
+}
+
+std::optional<relay_reply> decode_relay_reply(std::string_view message)
+{
+    wire::RelayReply encoded;
+    if (!parse(message, encoded)) {
+        return std::nullopt;
+    }
+    constexpr auto greatest_result =
+        static_cast<std::uint32_t>(policy::attempt_result::not_sent);
+    relay_reply reply;
+    for (auto& each : *encoded.mutable_parts()) {
+        if (each.result() > greatest_result) {
+            return std::nullopt;
+        }
+        reply.parts.push_back(
+            {each.shard(), static_cast<policy::attempt_result>(each.result()),
+             std::move(*each.mutable_digest()),
+             from_microseconds(each.elapsed_us())});
+    }
+    reply.records = std::move(*encoded.mutable_records());
+    return reply;
+}
+
+std::string encode_relay_cancel(const relay_cancel& cancel)
+{
+    wire::RelayCancel encoded;
+    encoded.set_sender(cancel.sender);
+    encoded.set_call(cancel.call);
+    for (const auto shard : cancel.shards) {
+        encoded.add_shards(shard);
+    }
+    return encoded.SerializeAsString();
+}
+
+std::optional<relay_cancel> decode_relay_cancel(std::string_view message)
+{
+    wire::RelayCancel encoded;
+    if (!parse(message, encoded)) {
+        return std::nullopt;
+    }
+    return relay_cancel{encoded.sender(), encoded.call(),
+                        {encoded.shards().begin(), encoded.shards().end()}};
+}
+
+} // namespace tamarackhoist::peers
--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <tamarackhoist/policy/registered_upstream.hpp>
 #include <tamarackhoist/policy/routing_table.hpp>
+#include <tamarackhoist/policy/store_item.hpp>
 #include <tamarackhoist/runtime/clock.hpp>
 #include <tamarackhoist/runtime/result.hpp>
 #include <variant>
@@ -44,9 +45,13 @@
 using news_item = std::variant<routes_published, upstream_registered,
                                upstream_unregistered, unusable_value>;
 
+/// Decodes an item of the store; nothing for keys that are not followed.
+using item_decoder =
+    std::function<std::optional<news_item>(const policy::store_item&)>;
+
 /// Items of one answer of the store.
 struct news_batch {
-    std::vector<news_item> items;
+    std::vector<policy::store_item> items;
     /// Revision of the store up to which the answer is complete.
     std::uint64_t store_revision = 0;
     /// Key after which the next page begins, if there is one.
@@ -87,11 +92,13 @@
 public:
     struct observer {
         /// All that the store holds.
-        std::function<void(const std::vector<news_item>&,
+        std::function<void(const std::vector<policy::store_item>&,
                            std::uint64_t revision)>
             listed;
-        /// Changes in order.
-        std::function<void(const std::vector<news_item>&)> changed;
+        /// Every change up to a revision, in order; there may be none.
+        std::function<void(const std::vector<policy::store_item>&,
+                           std::uint64_t revision)>
+            changed;
         /// The store answers again after a failure.
         std::function<void()> regained;
         std::function<void(store_error)> lost;
@@ -110,8 +117,15 @@
     news_follower(boost::asio::io_context& context, runtime::clock clock,
                   options options, store_calls calls, observer watch);
 
-    void start();
-    void stop();
+    /// Starts to follow, or goes on where `pause` left off.
+    void resume();
+    /// Makes no further calls; the result of a pending one is dropped.
+    void pause();
+
+    [[nodiscard]] bool is_following() const { return is_following_; }
+
+    /// Takes over a revision up to which everything is known from elsewhere.
+    void skip_to(std::uint64_t revision);
 
     /// When the store last answered.
     [[nodiscard]] std::optional<runtime::time_point> heard_at() const
@@ -122,6 +136,9 @@
     [[nodiscard]] std::uint64_t call_count() const { return call_count_; }
 
 private:
+    void go_on();
+    [[nodiscard]] store_calls::handler
+    expect(void (news_follower::*handle)(news_result));
     void list(const std::optional<std::string>& after);
     void listed(news_result result);
     void watch();
@@ -136,7 +153,7 @@
     const store_calls calls_;
     const observer watch_;
     std::minstd_rand random_;
-    std::vector<news_item> pages_;
+    std::vector<policy::store_item> pages_;
     /// Revision of the first page: later pages may be newer, so changes are
     /// watched from there.
     std::optional<std::uint64_t> list_revision_;
@@ -144,7 +161,9 @@
     std::optional<runtime::time_point> heard_at_;
     std::uint32_t failures_in_row_ = 0;
     std::uint64_t call_count_ = 0;
-    bool is_stopped_ = false;
+    bool is_following_ = false;
+    /// Tells the result of an outdated call from that of the current one.
+    std::uint64_t generation_ = 0;
 };
 
 } // namespace tamarackhoist::platform
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -38,35 +38,61 @@
 {
 }
 
-void news_follower::start()
+void news_follower::resume()
 {
-    list(std::nullopt);
+    if (is_following_) {
+        return;
+    }
+    is_following_ = true;
+    go_on();
 }
 
-void news_follower::stop()
+void news_follower::pause()
 {
-    is_stopped_ = true;
+    is_following_ = false;
+    ++generation_;
     timer_.cancel();
 }
 
+void news_follower::skip_to(std::uint64_t revision)
+{
+    if (!is_following_) {
+        revision_ = std::max(revision_.value_or(0), revision);
+    }
+}
+
+void news_follower::go_on()
+{
+    if (revision_) {
+        watch();
+    } else {
+        list(std::nullopt);
+    }
+}
+
+store_calls::handler
+news_follower::expect(void (news_follower::*handle)(news_result))
+{
+    ++call_count_;
+    auto self = shared_from_this();
+    return [self, handle, generation = ++generation_](news_result result) {
+        if (generation == self->generation_) {
+            (*self.*handle)(std::move(result));
+        }
+    };
+}
+
 void news_follower::list(const std::optional<std::string>& after)
 {
     if (!after) {
         pages_.clear();
         list_revision_.reset();
     }
-    ++call_count_;
-    auto self = shared_from_this();
-    calls_.list(after, [self](news_result result) {
-        self->listed(std::move(result));
-    });
+    calls_.list(after, expect(&news_follower::listed));
 }
 
 void news_follower::listed(news_result result)
 {
-    if (is_stopped_) {
-        return;
-    }
     if (!result) {
         failed(result.error());
         return;
@@ -90,18 +116,11 @@
 
 void news_follower::watch()
 {
-    ++call_count_;
-    auto self = shared_from_this();
-    calls_.watch(*revision_, options_.wait, [self](news_result result) {
-        self->watched(std::move(result));
-    });
+    calls_.watch(*revision_, options_.wait, expect(&news_follower::watched));
 }
 
 void news_follower::watched(news_result result)
 {
-    if (is_stopped_) {
-        return;
-    }
     if (!result) {
         failed(result.error());
         return;
@@ -109,11 +128,11 @@
     heard();
     const auto& batch = result.value();
     revision_ = std::max(*revision_, batch.store_revision);
+    watch_.changed(batch.items, *revision_);
     if (batch.items.empty()) {
         watch();
         return;
     }
-    watch_.changed(batch.items);
     after(options_.gather_pause, [this] { watch(); });
 }
 
@@ -145,13 +164,7 @@
     std::uniform_real_distribution<double> spread(1.0 - retry_spread,
                                                   1.0 + retry_spread);
     after(runtime::from_seconds(runtime::to_seconds(delay) * spread(random_)),
-          [this] {
-              if (revision_) {
-                  watch();
-              } else {
-                  list(std::nullopt);
-              }
-          });
+          [this] { go_on(); });
 }
 
 void news_follower::after(duration delay, std::function<void()> action)
@@ -160,7 +173,7 @@
     timer_.expires_after(delay);
     timer_.async_wait(
         [self, action = std::move(action)](boost::system::error_code error) {
-            if (!error && !self->is_stopped_) {
+            if (!error && self->is_following_) {
                 action();
             }
         });
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -9,18 +9,16 @@
 using namespace tamarackhoist;
 using namespace std::chrono_literals;
 using platform::news_batch;
-using platform::news_item;
+using items_view = const std::vector<policy::store_item>&;
 using platform::news_result;
 using platform::store_error;
 
 namespace
 {
 
-news_item registration(const std::string& id)
+policy::store_item registration(const std::string& id)
 {
-    policy::registered_upstream entry;
-    entry.id = id;
-    return platform::upstream_registered{entry};
+    return {"servers/" + id, "value", 1, false};
 }
 
 /// A store that gives prepared answers, and what was learnt from them.
@@ -46,13 +44,15 @@
                       answer(std::move(handle));
                   }},
               platform::news_follower::observer{
-                  [this](const std::vector<news_item>& items, std::uint64_t) {
+                  [this](items_view items, std::uint64_t) {
                       events.push_back("listed " +
                                        std::to_string(items.size()));
                   },
-                  [this](const std::vector<news_item>& items) {
-                      events.push_back("changed " +
-                                       std::to_string(items.size()));
+                  [this](items_view items, std::uint64_t) {
+                      if (!items.empty()) {
+                          events.push_back("changed " +
+                                           std::to_string(items.size()));
+                      }
                   },
                   [this] { events.push_back("regained"); },
                   [this](store_error error) {
@@ -64,7 +64,7 @@
     void run(std::initializer_list<news_result> answers)
     {
         prepared.assign(answers.begin(), answers.end());
-        follower->start();
+        follower->resume();
         context.run_for(200ms);
     }
 
@@ -148,8 +148,27 @@
     cr_assert_eq(fixture.calls.back(), "watch 7");
 }
 
+/// A node that hears the news from a peer stops to ask, and goes on from the
+/// revision that it knows.
+void a_paused_follower_goes_on_from_what_is_known()
+{
+    store_fixture fixture;
+    fixture.run({news_batch{{}, 7, {}}});
+    fixture.follower->pause();
+    fixture.follower->skip_to(40);
+    fixture.follower->skip_to(30);
+    fixture.context.restart();
+    fixture.follower->resume();
+    fixture.context.run_for(20ms);
+    cr_assert(fixture.calls == (texts{"list -", "watch 7", "watch 40"}));
+}
+
 } // namespace
 
+Test(news_follower, paused)
+{
+    a_paused_follower_goes_on_from_what_is_known();
+}
 Test(news_follower, pages)
 {
     all_pages_are_read_and_then_watched_from_the_first();
--- a/packages/policy/include/tamarackhoist/policy/extra_attempt_window.hpp
+++ b/packages/policy/include/tamarackhoist/policy/extra_attempt_window.hpp
@@ -35,6 +35,9 @@
     /// Gives back an extra attempt that reached no upstream.
     void give_back(runtime::time_point now);
 
+    /// Changes this node's share of the extra attempts allowed besides.
+    void set_allowance(double allowance) { limits_.allowance = allowance; }
+
     /// Extra attempts that may still be made now.
     [[nodiscard]] double left(runtime::time_point now);
 
@@ -51,7 +54,7 @@
 
     void advance(runtime::time_point now);
 
-    const extra_attempt_limits limits_;
+    extra_attempt_limits limits_;
     const runtime::time_point started_at_;
     const runtime::duration bucket_length_;
     std::array<bucket, bucket_count> buckets_{};
--- a/packages/policy/include/tamarackhoist/policy/forward_context.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_context.hpp
@@ -41,6 +41,9 @@
                     std::uint64_t random_seed, runtime::time_point now);
 
     [[nodiscard]] extra_attempt_window& extras(std::string_view service);
+    /// Changes this node's share of the extra attempts allowed besides.
+    void set_allowance(double allowance);
+
     [[nodiscard]] route_latency& latency(std::string_view route_name);
 
     /// Returns the service that gets the next request of a weighted route, so
@@ -60,7 +63,7 @@
                                           runtime::time_point now);
 
     const std::string failure_domain_;
-    const extra_attempt_limits limits_;
+    extra_attempt_limits limits_;
     const runtime::time_point started_at_;
     std::minstd_rand random_;
     std::map<std::string, extra_attempt_window, std::less<>> extras_;
--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -25,7 +25,10 @@
     /// Bytes were sent and no whole answer came; it may have been executed.
     broken,
     /// No byte reached the upstream.
-    not_sent
+    not_sent,
+    /// The node that passed the request on is lost, which says nothing about
+    /// the upstream; it may have been executed.
+    unreachable
 };
 
 /// How a request ended.
@@ -146,6 +149,14 @@
     void attempt_ended(attempt_key key, attempt_result result,
                        runtime::time_point now);
 
+    /// The same for an attempt that is known to have taken `latency`, although
+    /// its end is reported later.
+    void attempt_ended(attempt_key key, attempt_result result,
+                       runtime::duration latency, runtime::time_point now);
+
+    /// Latency after which an attempt counts as delayed.
+    [[nodiscard]] runtime::duration hedge_delay() const;
+
     /// To be called at `next_wake`.
     void wake(runtime::time_point now);
 
@@ -207,14 +218,13 @@
     void give_up_attempts(shard_state& shard, std::size_t index,
                           runtime::time_point now);
     void record_end(attempt& ended, attempt_result result,
-                    runtime::time_point now);
+                    runtime::duration latency, runtime::time_point now);
     void settle(runtime::time_point now);
     void schedule(runtime::time_point now);
     void finish(forward_outcome outcome, runtime::time_point now);
     [[nodiscard]] bool is_enough() const;
     [[nodiscard]] bool has_hope() const;
     [[nodiscard]] forward_outcome failure_outcome() const;
-    [[nodiscard]] runtime::duration hedge_delay() const;
 
     forward_context& context_;
     const upstream_directory& directory_;
--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -66,6 +66,12 @@
     /// Notes that the store answers again after it was away.
     void store_returned(runtime::time_point now);
 
+    /// Grants missing registrations a grace time until `until` at least.
+    void extend_grace(runtime::time_point until);
+
+    /// Returns how much of the grace time is left.
+    [[nodiscard]] runtime::duration grace_left(runtime::time_point now) const;
+
     /// Puts removals in force whose grace time is over.
     void expire(runtime::time_point now);
 
--- a/packages/policy/src/forward_context.cpp
+++ b/packages/policy/src/forward_context.cpp
@@ -76,6 +76,14 @@
         .first->second;
 }
 
+void forward_context::set_allowance(double allowance)
+{
+    limits_.allowance = allowance;
+    for (auto& [service, window] : extras_) {
+        window.set_allowance(allowance);
+    }
+}
+
 route_latency& forward_context::latency(std::string_view route_name)
 {
     const auto found = latencies_.find(route_name);
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -59,6 +59,8 @@
         return "broken";
     case attempt_result::not_sent:
         return "not_sent";
+    case attempt_result::unreachable:
+        return "unreachable";
     }
     return "broken";
 }
@@ -133,13 +135,20 @@
 
 void forward_coordinator::attempt_ended(attempt_key key, attempt_result result,
                                         time_point now)
+{
+    const auto& ended = shards_[key.shard].attempts[key.attempt];
+    attempt_ended(key, result, now - ended.started, now);
+}
+
+void forward_coordinator::attempt_ended(attempt_key key, attempt_result result,
+                                        duration latency, time_point now)
 {
     auto& shard = shards_[key.shard];
     auto& ended = shard.attempts[key.attempt];
     if (is_finished_ || ended.state != attempt_state::open) {
         return;
     }
-    record_end(ended, result, now);
+    record_end(ended, result, latency, now);
     switch (result) {
     case attempt_result::answered:
         if (!shard.winner) {
@@ -158,6 +167,7 @@
         }
         break;
     case attempt_result::broken:
+    case attempt_result::unreachable:
         shard.may_have_run = true;
         if (route_.repeat == repeatability::idempotent) {
             retry(key.shard, true, now);
@@ -176,18 +186,17 @@
 }
 
 void forward_coordinator::record_end(attempt& ended, attempt_result result,
-                                     time_point now)
+                                     duration latency, time_point now)
 {
     ended.state = attempt_state::ended;
     ended.result = result;
     --ended.upstream->in_flight;
-    const auto elapsed = now - ended.started;
     const auto typical = latency_.typical(route_);
     auto& health = ended.upstream->health;
     switch (result) {
     case attempt_result::answered:
-        health.record_success(elapsed, typical, now);
-        latency_.add(elapsed, now);
+        health.record_success(latency, typical, now);
+        latency_.add(latency, now);
         break;
     case attempt_result::not_executed:
         health.record_refusal(now);
@@ -197,6 +206,8 @@
     case attempt_result::not_sent:
         health.record_failure(now);
         break;
+    case attempt_result::unreachable:
+        break;
     }
 }
 
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -83,7 +83,17 @@
 
 void upstream_directory::store_returned(time_point now)
 {
-    grace_until_ = now + lapse_grace;
+    extend_grace(now + lapse_grace);
+}
+
+void upstream_directory::extend_grace(time_point until)
+{
+    grace_until_ = std::max(grace_until_, until);
+}
+
+runtime::duration upstream_directory::grace_left(time_point now) const
+{
+    return runtime::non_negative(grace_until_ - now);
 }
 
 void upstream_directory::schedule_removal(const upstream_handle& upstream,
--- a/packages/programs/src/tamarackhoistd.cpp
+++ b/packages/programs/src/tamarackhoistd.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <string>
 #include <tamarackhoist/adapter/store_client.hpp>
+#include <tamarackhoist/adapter/store_codec.hpp>
 #include <tamarackhoist/adapter/wire_names.hpp>
 #include <tamarackhoist/node/gateway.hpp>
 #include <tamarackhoist/node/gateway_settings.hpp>
@@ -119,12 +120,15 @@
     return serve<node::gateway>(
         node::gateway::create(
             std::move(settings), runtime::clock::boot(),
-            adapter::forward_header_names(),
-            [](boost::asio::io_context& context,
-               const tamarackhoist::transport::endpoint& store) {
-                return std::make_shared<adapter::store_client>(context, store)
-                    ->calls();
-            }),
+            {.fields = adapter::forward_header_names(),
+             .make_store =
+                 [](boost::asio::io_context& context,
+                    const tamarackhoist::transport::endpoint& store) {
+                     return std::make_shared<adapter::store_client>(context,
+                                                                    store)
+                         ->calls();
+                 },
+             .decode = adapter::decode_item}),
         [](node::gateway& running) { running.note_reload(); });
 }
 
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -39,7 +39,9 @@
     platform_read_failed = 510,
     platform_answer_rejected = 511,
     platform_regained = 512,
+    news_role_changed = 513,
     ownership_changed = 520,
+    relay_failed = 530,
     request_outcome_unknown = 600,
 };
 
--- a/packages/runtime/src/event.cpp
+++ b/packages/runtime/src/event.cpp
@@ -45,7 +45,9 @@
     event_description{platform_answer_rejected, warning,
                       "platform answer rejected"},
     event_description{platform_regained, information, "platform regained"},
+    event_description{news_role_changed, information, "news role changed"},
     event_description{ownership_changed, information, "ownership changed"},
+    event_description{relay_failed, warning, "relay failed"},
     event_description{request_outcome_unknown, warning,
                       "request outcome unknown"},
 };
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
@@ -26,10 +26,10 @@
 public:
     struct options {
         forward_connection::options connection;
-        /// This node's share of the connections the upstream accepts.
-        std::size_t max_connections = 1;
-        /// Connections that are opened ahead of need.
-        std::size_t warm_connections = 1;
+        /// Returns this node's share of the connections the upstream accepts.
+        std::function<std::size_t()> max_connections;
+        /// Returns the number of connections to open ahead of need.
+        std::function<std::size_t()> warm_connections;
     };
 
     struct counts {
--- a/packages/upstreams/src/forward_pool.cpp
+++ b/packages/upstreams/src/forward_pool.cpp
@@ -103,7 +103,7 @@
         run(*idle, std::move(request));
     }
     while (connecting_ < waiting_.size()) {
-        if (connection_count() < options_.max_connections) {
+        if (connection_count() < options_.max_connections()) {
             open();
             continue;
         }
@@ -219,14 +219,15 @@
         self->is_dispatch_scheduled_ = false;
         if (!self->is_retired_) {
             self->dispatch();
+            self->warm();
         }
     });
 }
 
 void forward_pool::warm()
 {
-    while (!is_retired_ && connection_count() < options_.max_connections &&
-           connection_count() < options_.warm_connections) {
+    while (!is_retired_ && connection_count() < options_.warm_connections() &&
+           connection_count() < options_.max_connections()) {
         open();
     }
 }
--- a/packages/upstreams/tests/forward_pool_test.cpp
+++ b/packages/upstreams/tests/forward_pool_test.cpp
@@ -30,8 +30,8 @@
               upstreams::forward_pool::options{
                   .connection = {.target = upstream.where(),
                                  .request_id_field = "X-Id"},
-                  .max_connections = connections,
-                  .warm_connections = 0}))
+                  .max_connections = [connections] { return connections; },
+                  .warm_connections = [] { return std::size_t(0); }}))
     {
     }
 
@@ -247,8 +247,8 @@
         fixture.context, runtime::clock::boot(),
         upstreams::forward_pool::options{
             .connection = {.target = target, .request_id_field = "X-Id"},
-            .max_connections = 1,
-            .warm_connections = 0});
+            .max_connections = [] { return std::size_t(1); },
+            .warm_connections = [] { return std::size_t(0); }});
     fixture.send("r");
     fixture.run_until(1);
     cr_assert(fixture.results[0].status == forward_status::not_sent);
