--- /dev/null
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -0,0 +1,345 @@
+#ifndef TAMARACKHOIST_NODE_GATEWAY_FIXTURE_HPP
+#define TAMARACKHOIST_NODE_GATEWAY_FIXTURE_HPP
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <tamarackhoist/node/gateway.hpp>
+#include <tamarackhoist/transport/http_connection.hpp>
+#include <tamarackhoist/transport/http_server.hpp>
+#include <thread>
+#include <vector>
+
+/// Real gateways on loopback ports, with a store and upstreams that the test
+/// scripts.
+namespace tamarackhoist::node
+{
+
+/// The configuration service as the gateways see it. Thread-safe.
+class fake_store
+{
+public:
+    void put(policy::store_item item)
+    {
+        const std::lock_guard guard(mutex_);
+        item.revision = ++revision_;
+        std::erase_if(items_, [&](const policy::store_item& each) {
+            return each.key == item.key;
+        });
+        items_.push_back(std::move(item));
+    }
+
+    void set_available(bool is_available) { is_available_ = is_available; }
+    [[nodiscard]] int calls() const { return calls_; }
+
+    /// Returns the calls for one gateway. A watch looks for changes often.
+    [[nodiscard]] platform::store_calls
+    calls_for(boost::asio::io_context& context)
+    {
+        return {[this, &context](const std::optional<std::string>&,
+                                 platform::store_calls::handler handle) {
+                    ++calls_;
+                    answer(context, 0, std::chrono::milliseconds(1),
+                           std::move(handle));
+                },
+                [this, &context](std::uint64_t after, runtime::duration wait,
+                                 platform::store_calls::handler handle) {
+                    ++calls_;
+                    answer(context, after, wait, std::move(handle));
+                }};
+    }
+
+private:
+    void answer(boost::asio::io_context& context, std::uint64_t after,
+                runtime::duration wait, platform::store_calls::handler handle)
+    {
+        static constexpr auto step = std::chrono::milliseconds(10);
+        auto timer = std::make_shared<boost::asio::steady_timer>(context, step);
+        timer->async_wait([this, &context, timer, after, wait,
+                           handle = std::move(handle)](
+                              boost::system::error_code error) mutable {
+            if (error) {
+                return;
+            }
+            if (!is_available_) {
+                handle(platform::store_error::unavailable);
+                return;
+            }
+            platform::news_batch batch;
+            {
+                const std::lock_guard guard(mutex_);
+                batch.store_revision = revision_;
+                for (const auto& item : items_) {
+                    if (item.revision > after) {
+                        batch.items.push_back(item);
+                    }
+                }
+            }
+            if (batch.items.empty() && wait > step) {
+                answer(context, after, wait - step, std::move(handle));
+                return;
+            }
+            handle(std::move(batch));
+        });
+    }
+
+    std::mutex mutex_;
+    std::vector<policy::store_item> items_;
+    std::uint64_t revision_ = 0;
+    std::atomic<bool> is_available_{true};
+    std::atomic<int> calls_{0};
+};
+
+/// What a scripted upstream was sent.
+struct seen_request {
+    std::string upstream;
+    std::string target;
+    std::string request_id;
+    std::string body;
+    std::string expected_upstream;
+};
+
+/// Upstreams of every service on one port each, and gateways before them.
+class gateway_fixture
+{
+public:
+    using responder =
+        std::function<transport::http_response(const seen_request&)>;
+
+    gateway_fixture()
+    {
+        // Leaves the ports of other tests alone.
+        upstream_thread_ = std::jthread([this] {
+            const auto work = boost::asio::make_work_guard(upstream_context_);
+            upstream_context_.run();
+        });
+    }
+
+    ~gateway_fixture()
+    {
+        for (auto& each : gateways_) {
+            each->shut_down();
+        }
+        threads_.clear();
+        upstream_context_.stop();
+    }
+
+    gateway_fixture(const gateway_fixture&) = delete;
+    gateway_fixture& operator=(const gateway_fixture&) = delete;
+
+    /// Starts an upstream and returns its registration as a store value.
+    void add_upstream(const std::string& id, const std::string& service,
+                      const std::string& domain, responder respond)
+    {
+        auto server =
+            transport::http_server::create(
+                upstream_context_.get_executor(), {"127.0.0.1", 0}, {},
+                [this, id, respond = std::move(respond)](
+                    const transport::http_request& request,
+                    const transport::http_server::respond& answer) {
+                    seen_request seen{
+                        id, std::string(request.target()),
+                        std::string(request["X-Id"]), request.body(),
+                        std::string(request["X-Expected"])};
+                    {
+                        const std::lock_guard guard(mutex_);
+                        seen_.push_back(seen);
+                    }
+                    auto response = respond(seen);
+                    response.set("X-Id", seen.request_id);
+                    answer(std::move(response));
+                })
+                .value();
+        server->start();
+        policy::registered_upstream entry;
+        entry.id = id;
+        entry.service = service;
+        entry.address = "127.0.0.1";
+        entry.port = server->port();
+        entry.failure_domain = domain;
+        entry.slots = 2;
+        {
+            const std::lock_guard guard(mutex_);
+            registrations_["servers/" + id] = entry;
+        }
+        servers_.push_back(std::move(server));
+        store.put({"servers/" + id, "x", 0, false});
+    }
+
+    void set_routes(std::uint64_t version, std::vector<policy::route> routes)
+    {
+        std::map<std::string, policy::service_settings, std::less<>> services;
+        for (const auto& route : routes) {
+            for (const auto& each : route.services) {
+                services[each.service] = {25};
+            }
+            for (const auto& each : route.shards) {
+                services[each] = {25};
+            }
+        }
+        {
+            const std::lock_guard guard(mutex_);
+            routes_ = std::make_shared<const policy::routing_table>(
+                version, std::move(routes), std::move(services),
+                policy::request_limits{});
+        }
+        store.put({"routes", "x", 0, false});
+    }
+
+    /// Starts a gateway and returns its number.
+    std::size_t start(const std::string& name, const std::string& domain)
+    {
+        gateway_settings settings;
+        settings.name = name;
+        settings.failure_domain = domain;
+        settings.callers = free_endpoint();
+        settings.readiness = free_endpoint();
+        settings.metrics = free_endpoint();
+        settings.peers = free_endpoint();
+        settings.store = {"127.0.0.1", 1};
+        settings.extra_attempt_allowance = 1000;
+        if (!callers_.empty()) {
+            settings.seeds = {peer_addresses_.front()};
+        }
+        auto created =
+            gateway::create(settings, runtime::clock::boot(),
+                            {.fields = {.request_id = "X-Id",
+                                        .time_left_ms = "X-Left",
+                                        .expected_upstream = "X-Expected",
+                                        .digest = "X-Digest",
+                                        .not_executed = "X-Not-Run",
+                                        .shard_digests = "X-Digests",
+                                        .missing_shards = "X-Missing"},
+                             .make_store =
+                                 [this](boost::asio::io_context& context,
+                                        const transport::endpoint&) {
+                                     return store.calls_for(context);
+                                 },
+                             .decode =
+                                 [this](const policy::store_item& item) {
+                                     return decode(item);
+                                 }})
+                .value();
+        callers_.push_back(settings.callers);
+        readiness_.push_back(settings.readiness);
+        peer_addresses_.push_back(settings.peers);
+        gateways_.push_back(std::move(created));
+        threads_.emplace_back(
+            [running = gateways_.back().get()] { running->run(); });
+        return gateways_.size() - 1;
+    }
+
+    /// Waits until `is_true`, for some seconds at most.
+    [[nodiscard]] static bool eventually(const std::function<bool()>& is_true)
+    {
+        for (int attempt = 0; attempt < 500; ++attempt) {
+            if (is_true()) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    [[nodiscard]] bool is_ready(std::size_t number)
+    {
+        const auto response = exchange(readiness_[number], "/ready", {}, {});
+        return response && response->result_int() == 200;
+    }
+
+    /// Sends a request to a gateway as a caller would.
+    [[nodiscard]] std::optional<transport::http_response>
+    ask(std::size_t number, const std::string& target,
+        const std::string& id = "id", const std::string& body = {})
+    {
+        return exchange(callers_[number], target, id, body);
+    }
+
+    [[nodiscard]] std::vector<seen_request> seen()
+    {
+        const std::lock_guard guard(mutex_);
+        return seen_;
+    }
+
+    gateway& at(std::size_t number) { return *gateways_[number]; }
+
+    fake_store store;
+
+private:
+    static transport::endpoint free_endpoint()
+    {
+        // A port that is free for both protocols.
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor tcp(
+            context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        return {"127.0.0.1", tcp.local_endpoint().port()};
+    }
+
+    static std::optional<transport::http_response>
+    exchange(const transport::endpoint& where, const std::string& target,
+             const std::string& id, const std::string& body)
+    {
+        namespace http = boost::beast::http;
+        constexpr unsigned http_1_1 = 11;
+        boost::asio::io_context context;
+        transport::http_request request(
+            body.empty() ? http::verb::get : http::verb::post, target,
+            http_1_1);
+        request.set(http::field::host, "h");
+        request.set("X-Id", id);
+        request.set("X-Left", "2000");
+        request.body() = body;
+        std::optional<transport::http_response> response;
+        transport::exchange_once(
+            context.get_executor(), where, std::move(request),
+            std::chrono::seconds(3), [&](transport::exchange_result result) {
+                if (result.status == transport::exchange_status::answered) {
+                    response = std::move(result.response);
+                }
+            });
+        context.run();
+        return response;
+    }
+
+    std::optional<platform::news_item> decode(const policy::store_item& item)
+    {
+        const std::lock_guard guard(mutex_);
+        if (item.key == "routes") {
+            return platform::routes_published{routes_};
+        }
+        if (item.is_removed) {
+            return platform::upstream_unregistered{
+                item.key.substr(std::string("servers/").size()),
+                item.revision};
+        }
+        const auto found = registrations_.find(item.key);
+        if (found == registrations_.end()) {
+            return std::nullopt;
+        }
+        auto entry = found->second;
+        entry.revision = item.revision;
+        return platform::upstream_registered{entry};
+    }
+
+    std::mutex mutex_;
+    std::shared_ptr<const policy::routing_table> routes_;
+    std::map<std::string, policy::registered_upstream> registrations_;
+    std::vector<seen_request> seen_;
+    boost::asio::io_context upstream_context_;
+    std::vector<std::shared_ptr<transport::http_server>> servers_;
+    std::vector<transport::endpoint> callers_;
+    std::vector<transport::endpoint> readiness_;
+    std::vector<transport::endpoint> peer_addresses_;
+    std::vector<std::unique_ptr<gateway>> gateways_;
+    std::jthread upstream_thread_;
+    std::vector<std::jthread> threads_;
+};
+
+} // namespace tamarackhoist::node
+
+#endif
--- /dev/null
+++ b/packages/peers/tests/forward_codec_test.cpp
@@ -0,0 +1,97 @@
+#include <rapidcheck.h>
+#include <string>
+#include <tamarackhoist/peers/news_codec.hpp>
+#include <tamarackhoist/peers/relay_codec.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace tamarackhoist;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+void a_relay_request_survives_its_encoding()
+{
+    peers::relay_request request;
+    request.sender = 7;
+    request.call = 8;
+    request.request_id = "id";
+    request.head = "GET / HTTP/1.1\r\n";
+    request.body = std::string("\0\xff", 2);
+    request.priority = 1;
+    request.remaining = 250ms;
+    request.targets = {{0, "u"}, {7, "v"}};
+    request.top_records = 20;
+    request.gather = 12ms;
+    const auto decoded =
+        peers::decode_relay_request(peers::encode_relay_request(request));
+    cr_assert(decoded.has_value());
+    cr_assert_eq(decoded->sender, 7U);
+    cr_assert_eq(decoded->call, 8U);
+    cr_assert_eq(decoded->request_id, request.request_id);
+    cr_assert_eq(decoded->head, request.head);
+    cr_assert_eq(decoded->body, request.body);
+    cr_assert_eq(decoded->priority, 1U);
+    cr_assert(decoded->remaining == 250ms);
+    cr_assert(decoded->targets == request.targets);
+    cr_assert_eq(decoded->top_records, 20U);
+    cr_assert(decoded->gather == 12ms);
+}
+
+void a_relay_reply_survives_its_encoding()
+{
+    peers::relay_reply reply;
+    reply.parts = {{3, policy::attempt_result::answered, "digest", 5ms},
+                   {4, policy::attempt_result::broken, {}, 6ms}};
+    reply.records = std::string(32, '\xfe');
+    const auto decoded =
+        peers::decode_relay_reply(peers::encode_relay_reply(reply));
+    cr_assert(decoded.has_value());
+    cr_assert(decoded->parts == reply.parts);
+    cr_assert_eq(decoded->records, reply.records);
+    const auto cancel = peers::decode_relay_cancel(
+        peers::encode_relay_cancel({1, 2, {3, 4}}));
+    cr_assert(cancel.has_value());
+    cr_assert_eq(cancel->shards.size(), 2U);
+}
+
+void news_survive_their_encoding()
+{
+    peers::shared_news news;
+    news.sender = "n";
+    news.after_revision = 4;
+    news.revision = 9;
+    news.age = 1s;
+    news.grace = 2s;
+    news.items = {{"k", std::string("\0v", 2), 8, false}, {"gone", {}, 9, true}};
+    const auto decoded = peers::decode_news(peers::encode_news(news));
+    cr_assert(decoded.has_value());
+    cr_assert_eq(decoded->sender, "n");
+    cr_assert_eq(decoded->after_revision, 4U);
+    cr_assert_eq(decoded->revision, 9U);
+    cr_assert(decoded->age == 1s);
+    cr_assert(decoded->grace == 2s);
+    cr_assert(decoded->items == news.items);
+}
+
+void arbitrary_bytes_do_no_harm()
+{
+    const bool holds = rc::check([](const std::string& bytes) {
+        static_cast<void>(peers::decode_relay_request(bytes));
+        static_cast<void>(peers::decode_relay_reply(bytes));
+        static_cast<void>(peers::decode_relay_cancel(bytes));
+        static_cast<void>(peers::decode_news(bytes));
+    });
+    cr_assert(holds);
+    cr_assert(!peers::decode_relay_request("").has_value(),
+              "another protocol version");
+    cr_assert(!peers::decode_news("").has_value());
+}
+
+} // namespace
+
+Test(forward_codec, request) { a_relay_request_survives_its_encoding(); }
+Test(forward_codec, reply) { a_relay_reply_survives_its_encoding(); }
+Test(forward_codec, news) { news_survive_their_encoding(); }
+Test(forward_codec, garbage) { arbitrary_bytes_do_no_harm(); }
