gateway: Report failed parts at once, ask sooner after a start, hedge after the report

Change: a relay reports an attempt that failed at once; a node that knows nothing asks any peer and, after 150 ms and 100 ms more for each rank, the store; a relay reports after eight tenths of the hedge delay, and the way there counts in the learned latency.

--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -27,6 +27,9 @@
 constexpr int trips_on_new_connection = 4;
 /// Shards of one call to a relay; more are shared out among several nodes.
 constexpr std::size_t max_shards_of_call = 24;
+/// A relay reports after this part of the time in which an answer counts as
+/// delayed, so that its report is here before the hedges.
+constexpr int gather_tenths = 8;
 /// Time for a relay's report beyond its gathering.
 constexpr duration relay_patience = std::chrono::milliseconds(12);
 /// One in this many complete requests is logged, chosen by its identity.
@@ -258,7 +261,7 @@
     if (is_first_send_) {
         // Later answers come one by one: a shard that was asked twice can
         // only be told apart there.
-        request.gather = coordinator_->hedge_delay();
+        request.gather = coordinator_->hedge_delay() * gather_tenths / 10;
         arm_silence_timer(request.gather + relay_patience);
     }
     for (const auto& each : attempts) {
@@ -287,13 +290,17 @@
     replied.is_heard = true;
     parts_.add(reply);
     const auto now = shared_->clock.now();
+    // What the way to the relay and back took, besides the upstream.
+    const auto overhead =
+        runtime::non_negative(now - replied.started - reply.sent_after);
     const auto keys = replied.keys;
     for (const auto& part : reply.parts) {
         const auto key = std::find_if(
             keys.begin(), keys.end(),
             [&](attempt_key each) { return each.shard == part.shard; });
         if (key != keys.end()) {
-            coordinator_->attempt_ended(*key, part.result, part.elapsed, now);
+            coordinator_->attempt_ended(*key, part.result,
+                                        part.elapsed + overhead, now);
         }
     }
     decided();
--- a/packages/node/src/news_service.cpp
+++ b/packages/node/src/news_service.cpp
@@ -16,14 +16,14 @@
 namespace
 {
 
-constexpr duration tick_interval = 100ms;
+constexpr duration tick_interval = 50ms;
 /// Pause after which a follower of the service tells its peers that nothing
 /// has changed.
 constexpr duration push_interval = 300ms;
 /// Age up to which a confirmation by the service counts as recent: the wait
 /// of one call and its answer.
 constexpr duration recent_age = 3200ms;
-constexpr duration pull_interval = 300ms;
+constexpr duration pull_interval = 100ms;
 /// A gap in the news from which on registrations may have lapsed unseen.
 constexpr duration lapse_gap = 3000ms;
 
@@ -156,7 +156,8 @@
 void news_service::choose_role()
 {
     const auto own_rank = rank();
-    const bool should_follow = role_.follows_service(own_rank, clock_.now());
+    const bool should_follow =
+        role_.follows_service(own_rank, is_complete_, clock_.now());
     if (should_follow == follower_->is_following()) {
         return;
     }
@@ -247,10 +248,10 @@
     if (is_complete_ || clock_.now() - pulled_at_ < pull_interval) {
         return;
     }
-    // A peer of another failure domain costs bytes between them, but may
-    // know what the service does not tell this node.
+    // A peer of another failure domain costs bytes between them, but callers
+    // wait for this node.
     auto candidates = domain_peers();
-    if (candidates.empty() && is_service_lost_) {
+    if (candidates.empty()) {
         candidates = peers_->live_peers();
     }
     if (candidates.empty()) {
--- a/packages/node/src/relayed_call.cpp
+++ b/packages/node/src/relayed_call.cpp
@@ -72,17 +72,29 @@
     part.shard = request_.targets[index].shard;
     part.elapsed = shared_->clock.now() - started_;
     part.result = classify(result, shared_->fields, true);
-    if (part.result == attempt_result::answered) {
-        part.digest = std::string(result.response[shared_->fields.digest]);
-        bodies_.push_back(std::move(result.response.body()));
+    if (part.result != attempt_result::answered) {
+        // Another replica can be asked at once; this cannot wait for the rest.
+        reply({std::move(part)}, {});
+        close_if_done();
+        return;
     }
+    part.digest = std::string(result.response[shared_->fields.digest]);
+    bodies_.push_back(std::move(result.response.body()));
     parts_.push_back(std::move(part));
-    if (!is_gathering_ || open_ == 0) {
+    if (!is_gathering_) {
         flush();
     }
     close_if_done();
 }
 
+void relayed_call::reply(std::vector<peers::relay_part> parts,
+                         std::string records)
+{
+    call_->reply(peers::encode_relay_reply(
+        {std::move(parts), std::move(records),
+         shared_->clock.now() - started_}));
+}
+
 void relayed_call::arm_gather_timer()
 {
     auto self = shared_from_this();
@@ -99,12 +111,10 @@
     is_gathering_ = false;
     timer_.cancel();
     // An empty reply, too, tells the sender that this node lives.
-    peers::relay_reply reply;
-    reply.parts = std::exchange(parts_, {});
     const auto bodies = std::exchange(bodies_, {});
     const std::vector<std::string_view> views(bodies.begin(), bodies.end());
-    reply.records = policy::merge_records(views, request_.top_records);
-    call_->reply(peers::encode_relay_reply(reply));
+    reply(std::exchange(parts_, {}),
+          policy::merge_records(views, request_.top_records));
 }
 
 void relayed_call::cancel(std::span<const std::uint32_t> shards)
@@ -124,9 +134,6 @@
             pool->cancel(attempt.ticket);
         }
     }
-    if (open_ == 0 && !parts_.empty()) {
-        flush();
-    }
     close_if_done();
 }
 
@@ -135,6 +142,9 @@
     if (open_ > 0 || over_ == nullptr) {
         return;
     }
+    if (!parts_.empty()) {
+        flush();
+    }
     timer_.cancel();
     call_->finish();
     const auto over = std::exchange(over_, nullptr);
--- a/packages/node/src/relayed_call.hpp
+++ b/packages/node/src/relayed_call.hpp
@@ -39,6 +39,7 @@
     void ended(std::size_t index, upstreams::forward_result result);
     void arm_gather_timer();
     void flush();
+    void reply(std::vector<peers::relay_part> parts, std::string records);
     void close_if_done();
 
     const std::shared_ptr<forwarding> shared_;
--- a/packages/peers/include/tamarackhoist/peers/relay_codec.hpp
+++ b/packages/peers/include/tamarackhoist/peers/relay_codec.hpp
@@ -56,6 +56,8 @@
 struct relay_reply {
     std::vector<relay_part> parts;
     std::string records;
+    /// Time from the receipt of the call to this reply.
+    runtime::duration sent_after{};
 };
 
 /// Gives up shards of a call.
--- a/packages/peers/src/relay_codec.cpp
+++ b/packages/peers/src/relay_codec.cpp
@@ -63,6 +63,7 @@
         part->set_elapsed_us(to_microseconds(each.elapsed));
     }
     encoded.set_records(reply.records);
+    encoded.set_sent_after_us(to_microseconds(reply.sent_after));
     return encoded.SerializeAsString();
 }
 
@@ -85,6 +86,7 @@
              from_microseconds(each.elapsed_us())});
     }
     reply.records = std::move(*encoded.mutable_records());
+    reply.sent_after = from_microseconds(encoded.sent_after_us());
     return reply;
 }
 
--- a/packages/peers/tests/forward_codec_test.cpp
+++ b/packages/peers/tests/forward_codec_test.cpp
@@ -45,11 +45,13 @@
     reply.parts = {{3, policy::attempt_result::answered, "digest", 5ms},
                    {4, policy::attempt_result::broken, {}, 6ms}};
     reply.records = std::string(32, '\xfe');
+    reply.sent_after = 7ms;
     const auto decoded =
         peers::decode_relay_reply(peers::encode_relay_reply(reply));
     cr_assert(decoded.has_value());
     cr_assert(decoded->parts == reply.parts);
     cr_assert_eq(decoded->records, reply.records);
+    cr_assert(decoded->sent_after == 7ms);
     const auto cancel = peers::decode_relay_cancel(
         peers::encode_relay_cancel({1, 2, {3, 4}}));
     cr_assert(cancel.has_value());
--- a/packages/policy/include/tamarackhoist/policy/news_role.hpp
+++ b/packages/policy/include/tamarackhoist/policy/news_role.hpp
@@ -15,8 +15,10 @@
 {
 public:
     struct options {
-        /// Time in which a started node finds its peers.
-        runtime::duration start_grace = std::chrono::milliseconds(400);
+        /// Time in which a started node finds its peers and asks them.
+        runtime::duration start_grace = std::chrono::milliseconds(150);
+        /// Further patience of a started node for each rank.
+        runtime::duration start_step = std::chrono::milliseconds(100);
         /// Age of the last news from a peer that is still recent.
         runtime::duration freshness = std::chrono::milliseconds(900);
         /// Further patience for each rank.
@@ -31,7 +33,9 @@
     /// within `max_age`.
     void heard_from_peer(runtime::time_point now);
 
-    [[nodiscard]] bool follows_service(std::size_t rank,
+    /// `is_complete` tells whether the node knows all that the service holds,
+    /// of whatever age.
+    [[nodiscard]] bool follows_service(std::size_t rank, bool is_complete,
                                        runtime::time_point now) const;
 
 private:
--- a/packages/policy/tests/fleet_state_test.cpp
+++ b/packages/policy/tests/fleet_state_test.cpp
@@ -17,10 +17,10 @@
 void the_first_of_a_domain_follows_the_service()
 {
     const policy::news_role role({}, start_of_test);
-    cr_assert(!role.follows_service(0, start_of_test),
+    cr_assert(!role.follows_service(0, true, start_of_test),
               "a started node first looks for its peers");
-    cr_assert(role.follows_service(0, start_of_test + 500ms));
-    cr_assert(!role.follows_service(1, start_of_test + 500ms));
+    cr_assert(role.follows_service(0, true, start_of_test + 500ms));
+    cr_assert(!role.follows_service(1, true, start_of_test + 500ms));
 }
 
 /// Pattern: the node that follows the service is frozen or cut off. The
@@ -33,19 +33,30 @@
     const auto at = [](runtime::duration since) {
         return start_of_test + 10s + since;
     };
-    cr_assert(!role.follows_service(1, at(900ms)));
-    cr_assert(role.follows_service(1, at(1100ms)));
-    cr_assert(!role.follows_service(2, at(1100ms)));
-    cr_assert(role.follows_service(50, at(1600ms)));
+    cr_assert(!role.follows_service(1, true, at(900ms)));
+    cr_assert(role.follows_service(1, true, at(1100ms)));
+    cr_assert(!role.follows_service(2, true, at(1100ms)));
+    cr_assert(role.follows_service(50, true, at(1600ms)));
+}
+
+/// Pattern: every process of the fleet is killed and started. The callers
+/// wait, so a node that knows nothing asks soon, still in order of rank.
+void a_started_node_that_knows_nothing_asks_soon()
+{
+    const policy::news_role role({}, start_of_test);
+    cr_assert(role.follows_service(0, false, start_of_test + 150ms));
+    cr_assert(!role.follows_service(2, false, start_of_test + 150ms));
+    cr_assert(role.follows_service(2, false, start_of_test + 350ms));
+    cr_assert(role.follows_service(60, false, start_of_test + 550ms));
 }
 
 void news_from_a_peer_end_the_own_calls()
 {
     policy::news_role role({}, start_of_test);
-    cr_assert(role.follows_service(3, start_of_test + 5s));
+    cr_assert(role.follows_service(3, true, start_of_test + 5s));
     role.heard_from_peer(start_of_test + 5s);
-    cr_assert(!role.follows_service(3, start_of_test + 5s));
-    cr_assert(role.follows_service(0, start_of_test + 5s));
+    cr_assert(!role.follows_service(3, true, start_of_test + 5s));
+    cr_assert(role.follows_service(0, true, start_of_test + 5s));
 }
 
 policy::relay_node make_node(const char* name, const char* domain,
@@ -124,6 +135,10 @@
 
 Test(news_role, first) { the_first_of_a_domain_follows_the_service(); }
 Test(news_role, frozen_follower) { overdue_news_are_fetched_in_order_of_rank(); }
+Test(news_role, whole_fleet_restart)
+{
+    a_started_node_that_knows_nothing_asks_soon();
+}
 Test(news_role, peers) { news_from_a_peer_end_the_own_calls(); }
 Test(relay_directory, far)
 {
