--- a/packages/callers/include/tamarackhoist/callers/forward_server.hpp
+++ b/packages/callers/include/tamarackhoist/callers/forward_server.hpp
@@ -50,10 +50,7 @@
     void close_idle();
 
     [[nodiscard]] bool is_draining() const { return is_draining_; }
-    [[nodiscard]] std::size_t requests_in_flight() const
-    {
-        return in_flight_;
-    }
+    [[nodiscard]] std::size_t requests_in_flight() const { return in_flight_; }
     [[nodiscard]] std::size_t connection_count() const
     {
         return connections_.size();
--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -215,8 +215,7 @@
 
 void caller_connection::reject(unsigned status, std::string reason)
 {
-    runtime::log_event(runtime::event_number::caller_request_rejected,
-                       reason);
+    runtime::log_event(runtime::event_number::caller_request_rejected, reason);
     timer_.cancel();
     state_ = state::handling;
     ++server_->in_flight_;
@@ -261,8 +260,7 @@
 void caller_connection::write()
 {
     error_code error;
-    written_ += socket_.write_some(
-        asio::buffer(output_) + written_, error);
+    written_ += socket_.write_some(asio::buffer(output_) + written_, error);
     if (error && error != asio::error::would_block) {
         abandon();
         return;
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -26,8 +26,8 @@
 
 private:
     class exchange;
-    using parser_type = boost::beast::http::request_parser<
-        boost::beast::http::string_body>;
+    using parser_type =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     enum class state { reading, handling, writing, closed };
 
--- a/packages/callers/src/forward_server.cpp
+++ b/packages/callers/src/forward_server.cpp
@@ -52,10 +52,9 @@
 forward_server::forward_server(asio::io_context& context, runtime::clock clock,
                                options options, limits_source limits,
                                handler handle, tcp::acceptor acceptor)
-    : context_(context), clock_(std::move(clock)),
-      options_(std::move(options)), limits_(std::move(limits)),
-      handle_(std::move(handle)), acceptor_(std::move(acceptor)),
-      accept_pause_(context)
+    : context_(context), clock_(std::move(clock)), options_(std::move(options)),
+      limits_(std::move(limits)), handle_(std::move(handle)),
+      acceptor_(std::move(acceptor)), accept_pause_(context)
 {
 }
 
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -38,8 +38,7 @@
         limits.header_timeout = 100ms;
         limits.idle_timeout = 5s;
         server->start();
-        caller.connect(
-            {asio::ip::make_address("127.0.0.1"), server->port()});
+        caller.connect({asio::ip::make_address("127.0.0.1"), server->port()});
         caller.non_blocking(true);
     }
 
@@ -217,17 +216,38 @@
 
 } // namespace
 
-Test(forward_server, bodies) { bodies_arrive_with_a_length_or_in_chunks(); }
+Test(forward_server, bodies)
+{
+    bodies_arrive_with_a_length_or_in_chunks();
+}
 Test(forward_server, pipelining)
 {
     requests_that_arrive_together_are_answered_in_order();
 }
-Test(forward_server, ambiguous) { ambiguous_requests_are_rejected(); }
-Test(forward_server, limits) { limits_are_kept(); }
-Test(forward_server, slow_header) { a_slow_header_is_not_waited_for(); }
-Test(forward_server, departed_caller) { a_departed_caller_is_noticed(); }
-Test(forward_server, head) { answers_to_head_have_no_body(); }
-Test(forward_server, draining) { draining_answers_and_then_closes(); }
+Test(forward_server, ambiguous)
+{
+    ambiguous_requests_are_rejected();
+}
+Test(forward_server, limits)
+{
+    limits_are_kept();
+}
+Test(forward_server, slow_header)
+{
+    a_slow_header_is_not_waited_for();
+}
+Test(forward_server, departed_caller)
+{
+    a_departed_caller_is_noticed();
+}
+Test(forward_server, head)
+{
+    answers_to_head_have_no_body();
+}
+Test(forward_server, draining)
+{
+    draining_answers_and_then_closes();
+}
 Test(forward_server, idle)
 {
     idle_connections_close_at_the_end_of_a_drain();
--- a/packages/document/include/tamarackhoist/document/section_reader.hpp
+++ b/packages/document/include/tamarackhoist/document/section_reader.hpp
@@ -45,6 +45,9 @@
     optional_duration(std::string_view key, runtime::duration fallback);
     /// Reads a comma-separated list without empty elements.
     [[nodiscard]] std::vector<std::string> required_list(std::string_view key);
+    /// Reads a list that may be missing or empty, as a rendered template
+    /// leaves it.
+    [[nodiscard]] std::vector<std::string> optional_list(std::string_view key);
     /// Reads `begin-end`, both hexadecimal with `0x` or decimal.
     [[nodiscard]] policy::key_range required_range(std::string_view key);
 
--- a/packages/document/src/section_reader.cpp
+++ b/packages/document/src/section_reader.cpp
@@ -159,9 +159,8 @@
     return entry->value == "true";
 }
 
-runtime::duration
-section_reader::optional_duration(std::string_view key,
-                                  runtime::duration fallback)
+runtime::duration section_reader::optional_duration(std::string_view key,
+                                                    runtime::duration fallback)
 {
     return section_.find(key) == nullptr ? fallback : required_duration(key);
 }
@@ -215,6 +214,16 @@
     return parts;
 }
 
+std::vector<std::string> section_reader::optional_list(std::string_view key)
+{
+    const auto* entry = section_.find(key);
+    if (entry == nullptr || entry->value.empty()) {
+        known_.emplace(key);
+        return {};
+    }
+    return required_list(key);
+}
+
 policy::key_range section_reader::required_range(std::string_view key)
 {
     const auto* entry = take(key, true);
--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -101,8 +101,7 @@
     policy::forward_context context_;
     std::shared_ptr<forwarding> forwarding_;
     std::shared_ptr<const policy::routing_table> routes_;
-    std::map<std::string, std::shared_ptr<upstreams::forward_pool>,
-             std::less<>>
+    std::map<std::string, std::shared_ptr<upstreams::forward_pool>, std::less<>>
         pools_;
     std::map<std::string, std::string, std::less<>> unusable_;
     const platform::item_decoder decode_;
--- a/packages/node/include/tamarackhoist/node/relay_client.hpp
+++ b/packages/node/include/tamarackhoist/node/relay_client.hpp
@@ -37,8 +37,8 @@
 
     /// Returns the node through which upstreams of `domain` are reached, or
     /// nothing if this node reaches them itself.
-    [[nodiscard]] std::optional<policy::node_id>
-    choose(std::string_view domain, std::size_t shards);
+    [[nodiscard]] std::optional<policy::node_id> choose(std::string_view domain,
+                                                        std::size_t shards);
 
     relay_call_id call(policy::node_id peer, peers::relay_request request,
                        handlers handle);
--- a/packages/node/src/fan_out_parts.cpp
+++ b/packages/node/src/fan_out_parts.cpp
@@ -34,10 +34,10 @@
         add(answered.front()->shard, answered.front()->digest, reply.records);
         return;
     }
-    const bool overlaps = std::any_of(
-        answered.begin(), answered.end(), [&](const peers::relay_part* part) {
-            return is_bundled_[part->shard];
-        });
+    const bool overlaps = std::any_of(answered.begin(), answered.end(),
+                                      [&](const peers::relay_part* part) {
+                                          return is_bundled_[part->shard];
+                                      });
     if (answered.empty() || overlaps) {
         return;
     }
--- a/packages/node/src/forward_message.cpp
+++ b/packages/node/src/forward_message.cpp
@@ -22,13 +22,17 @@
 constexpr unsigned status_misdirected = 421;
 
 /// Fields that concern one connection, or that are set anew.
-constexpr std::array hop_fields{
-    http::field::connection,        http::field::keep_alive,
-    http::field::proxy_connection,  http::field::te,
-    http::field::trailer,           http::field::transfer_encoding,
-    http::field::upgrade,           http::field::expect,
-    http::field::content_length,    http::field::proxy_authenticate,
-    http::field::proxy_authorization};
+constexpr std::array hop_fields{http::field::connection,
+                                http::field::keep_alive,
+                                http::field::proxy_connection,
+                                http::field::te,
+                                http::field::trailer,
+                                http::field::transfer_encoding,
+                                http::field::upgrade,
+                                http::field::expect,
+                                http::field::content_length,
+                                http::field::proxy_authenticate,
+                                http::field::proxy_authorization};
 
 /// Returns the names of fields that the message declares to concern only
 /// this connection.
@@ -93,10 +97,10 @@
         head.append(to_text(field.name_string())).append(": ");
         head.append(to_text(field.value())).append("\r\n");
     }
-    const bool has_body = !request.body().empty() ||
-                          request.find(http::field::content_length) !=
-                              request.end() ||
-                          request.chunked();
+    const bool has_body =
+        !request.body().empty() ||
+        request.find(http::field::content_length) != request.end() ||
+        request.chunked();
     if (has_body) {
         head.append("Content-Length: ");
         head.append(std::to_string(request.body().size())).append("\r\n");
@@ -122,10 +126,10 @@
     return std::chrono::milliseconds(milliseconds);
 }
 
-upstreams::forward_request
-make_forward_request(const request_parts& request,
-                     const std::string& upstream_id, runtime::duration left,
-                     const forward_fields& fields)
+upstreams::forward_request make_forward_request(const request_parts& request,
+                                                const std::string& upstream_id,
+                                                runtime::duration left,
+                                                const forward_fields& fields)
 {
     using std::chrono::milliseconds;
     constexpr std::size_t punctuation_bytes = 32;
@@ -136,9 +140,8 @@
     made.is_head = request.is_head;
     auto& bytes = made.bytes;
     bytes.reserve(request.head.size() + request.body.size() +
-                  fields.time_left_ms.size() +
-                  fields.expected_upstream.size() + upstream_id.size() +
-                  punctuation_bytes);
+                  fields.time_left_ms.size() + fields.expected_upstream.size() +
+                  upstream_id.size() + punctuation_bytes);
     bytes.append(request.head);
     bytes.append(fields.time_left_ms).append(": ");
     bytes.append(std::to_string(left_ms)).append("\r\n");
@@ -152,8 +155,7 @@
 {
 
 attempt_result classify_response(const transport::http_response& response,
-                                 const forward_fields& fields,
-                                 bool is_fan_out)
+                                 const forward_fields& fields, bool is_fan_out)
 {
     const auto status = response.result_int();
     if (status == status_misdirected ||
@@ -207,8 +209,7 @@
 }
 
 forward_answer make_merged_answer(const merged_parts& parts,
-                                  std::size_t missing,
-                                  std::size_t top_records,
+                                  std::size_t missing, std::size_t top_records,
                                   const forward_fields& fields)
 {
     std::string digests;
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -94,12 +94,12 @@
     if (const auto left =
             read_time_left(exchange_->request(), shared_->fields)) {
         allowed = std::min(
-            allowed, runtime::non_negative(
-                         *left - delay * trips_on_kept_connection));
+            allowed,
+            runtime::non_negative(*left - delay * trips_on_kept_connection));
     }
     return {.started = received,
-            .on_time_until = received + route_.latency_target -
-                             delay * trips - answer_margin,
+            .on_time_until = received + route_.latency_target - delay * trips -
+                             answer_margin,
             .deadline = received + allowed};
 }
 
@@ -135,11 +135,10 @@
                 [this](attempt_key key,
                        const policy::upstream_handle& upstream) {
                     auto& attempts = attempts_[key.shard];
-                    attempts.resize(
-                        std::max(attempts.size(), key.attempt + 1));
+                    attempts.resize(std::max(attempts.size(), key.attempt + 1));
                     const auto& registration = upstream->registration;
-                    outbox_.push_back({key, registration.id,
-                                       registration.failure_domain});
+                    outbox_.push_back(
+                        {key, registration.id, registration.failure_domain});
                 },
             .cancel = [this](attempt_key key) { cancel(key); },
             .finish = [this](forward_outcome outcome) { finish(outcome); },
@@ -170,11 +169,11 @@
         }
         return;
     }
-    std::stable_sort(outgoing.begin(), outgoing.end(),
-                     [](const outgoing_attempt& left,
-                        const outgoing_attempt& right) {
-                         return left.failure_domain < right.failure_domain;
-                     });
+    std::stable_sort(
+        outgoing.begin(), outgoing.end(),
+        [](const outgoing_attempt& left, const outgoing_attempt& right) {
+            return left.failure_domain < right.failure_domain;
+        });
     const std::span<const outgoing_attempt> all(outgoing);
     std::size_t begin = 0;
     while (begin < all.size()) {
@@ -183,8 +182,7 @@
             [&](const outgoing_attempt& each) {
                 return each.failure_domain != all[begin].failure_domain;
             });
-        const auto size =
-            static_cast<std::size_t>(end - all.begin()) - begin;
+        const auto size = static_cast<std::size_t>(end - all.begin()) - begin;
         send_to_domain(all.subspan(begin, size));
         begin += size;
     }
@@ -200,8 +198,8 @@
         const auto begin = attempts.size() * call / calls;
         const auto end = attempts.size() * (call + 1) / calls;
         const auto part = attempts.subspan(begin, end - begin);
-        const auto relay = shared_->relays->choose(
-            part.front().failure_domain, part.size());
+        const auto relay =
+            shared_->relays->choose(part.front().failure_domain, part.size());
         if (relay) {
             send_through(*relay, part);
             continue;
@@ -243,8 +241,8 @@
         });
 }
 
-void forwarded_request::send_through(
-    policy::node_id relay, std::span<const outgoing_attempt> attempts)
+void forwarded_request::send_through(policy::node_id relay,
+                                     std::span<const outgoing_attempt> attempts)
 {
     const auto now = shared_->clock.now();
     const auto index = relay_calls_.size();
@@ -271,12 +269,14 @@
             {static_cast<std::uint32_t>(each.key.shard), each.upstream});
     }
     auto self = shared_from_this();
-    call.id = shared_->relays->call(
-        relay, std::move(request),
-        {[self, index](const peers::relay_reply& reply) {
-             self->relay_replied(index, reply);
-         },
-         [self, index](bool) { self->relay_lost(index); }});
+    call.id =
+        shared_->relays->call(relay, std::move(request),
+                              {[self, index](const peers::relay_reply& reply) {
+                                   self->relay_replied(index, reply);
+                               },
+                               [self, index](bool) {
+                                   self->relay_lost(index);
+                               }});
     relay_calls_.push_back(std::move(call));
 }
 
@@ -295,9 +295,10 @@
         runtime::non_negative(now - replied.started - reply.sent_after);
     const auto keys = replied.keys;
     for (const auto& part : reply.parts) {
-        const auto key = std::find_if(
-            keys.begin(), keys.end(),
-            [&](attempt_key each) { return each.shard == part.shard; });
+        const auto key =
+            std::find_if(keys.begin(), keys.end(), [&](attempt_key each) {
+                return each.shard == part.shard;
+            });
         if (key != keys.end()) {
             coordinator_->attempt_ended(*key, part.result,
                                         part.elapsed + overhead, now);
@@ -370,11 +371,9 @@
     }
 }
 
-void forwarded_request::ended(attempt_key key,
-                              upstreams::forward_result result)
+void forwarded_request::ended(attempt_key key, upstreams::forward_result result)
 {
-    const auto outcome =
-        classify(result, shared_->fields, route_.is_fan_out());
+    const auto outcome = classify(result, shared_->fields, route_.is_fan_out());
     if (!route_.is_fan_out()) {
         attempt(key).response = std::move(result.response);
     } else if (outcome == attempt_result::answered) {
@@ -410,8 +409,7 @@
     });
 }
 
-forwarded_request::running_attempt&
-forwarded_request::attempt(attempt_key key)
+forwarded_request::running_attempt& forwarded_request::attempt(attempt_key key)
 {
     return attempts_[key.shard][key.attempt];
 }
@@ -442,8 +440,7 @@
         return make_answer(*attempt(*coordinator_->winner(0)).response);
     }
     const auto merged = parts_.merge();
-    return make_merged_answer(merged,
-                              attempts_.size() - merged.digests.size(),
+    return make_merged_answer(merged, attempts_.size() - merged.digests.size(),
                               route_.top_records, shared_->fields);
 }
 
--- a/packages/node/src/forwarded_request.hpp
+++ b/packages/node/src/forwarded_request.hpp
@@ -77,8 +77,7 @@
     [[nodiscard]] callers::forward_answer
     make_final_answer(policy::forward_outcome outcome) const;
     [[nodiscard]] running_attempt& attempt(policy::attempt_key key);
-    [[nodiscard]] const running_attempt&
-    attempt(policy::attempt_key key) const;
+    [[nodiscard]] const running_attempt& attempt(policy::attempt_key key) const;
 
     const std::shared_ptr<forwarding> shared_;
     /// Keeps the route alive.
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -28,8 +28,8 @@
 
 callers::forward_answer make_not_found()
 {
-    return {static_cast<unsigned>(http::status::not_found), "Not Found", {},
-            {}};
+    return {
+        static_cast<unsigned>(http::status::not_found), "Not Found", {}, {}};
 }
 
 std::uint64_t microseconds_since_epoch()
@@ -63,8 +63,8 @@
     return created;
 }
 
-gateway::gateway(gateway_settings settings, runtime::clock clock,
-                 adapter adapt, std::uint64_t incarnation)
+gateway::gateway(gateway_settings settings, runtime::clock clock, adapter adapt,
+                 std::uint64_t incarnation)
     : settings_(std::move(settings)), clock_(std::move(clock)),
       incarnation_(incarnation), directory_(watch_directory()),
       context_(settings_.failure_domain,
@@ -77,14 +77,14 @@
               incarnation, clock_),
       expiry_timer_(io_context_), shutdown_timer_(io_context_)
 {
-    forwarding_ = std::make_shared<forwarding>(forwarding{
-        io_context_, clock_, std::move(adapt.fields), settings_.caller_delay,
-        context_, directory_, metrics_,
-        [this](const std::string& upstream) {
-            const auto found = pools_.find(upstream);
-            return found == pools_.end() ? nullptr : found->second;
-        },
-        &relays_});
+    forwarding_ = std::make_shared<forwarding>(
+        forwarding{io_context_, clock_, std::move(adapt.fields),
+                   settings_.caller_delay, context_, directory_, metrics_,
+                   [this](const std::string& upstream) {
+                       const auto found = pools_.find(upstream);
+                       return found == pools_.end() ? nullptr : found->second;
+                   },
+                   &relays_});
     relay_server_.emplace(forwarding_);
     news_.emplace(io_context_, clock_,
                   adapt.make_store(io_context_, settings_.store),
@@ -164,9 +164,9 @@
     if (elapsed >= balancer_lag) {
         callers_->close_idle();
     }
-    const bool is_done =
-        elapsed >= balancer_lag && callers_->requests_in_flight() == 0 &&
-        relay_server_->open_calls() == 0;
+    const bool is_done = elapsed >= balancer_lag &&
+                         callers_->requests_in_flight() == 0 &&
+                         relay_server_->open_calls() == 0;
     if (is_done || elapsed >= settings_.shutdown_grace - shutdown_margin) {
         io_context_.stop();
         return;
@@ -200,9 +200,8 @@
     }
     const auto host = request[http::field::host];
     const auto target = request.target();
-    const auto* route =
-        routes_->find({host.data(), host.size()},
-                      path_of({target.data(), target.size()}));
+    const auto* route = routes_->find({host.data(), host.size()},
+                                      path_of({target.data(), target.size()}));
     if (route != nullptr) {
         forward(forwarding_, routes_, *route, std::move(exchange));
         return;
@@ -210,9 +209,8 @@
     // Without recent news the route may have been added meanwhile.
     const bool is_certain = has_recent_news();
     metrics_.count({"tamarackhoist_unknown_route_total", ""});
-    log_refusal(request, is_certain
-                             ? "no route matches"
-                             : "no route matches, and news are overdue");
+    log_refusal(request, is_certain ? "no route matches"
+                                    : "no route matches, and news are overdue");
     exchange->respond(is_certain ? make_not_found() : make_not_executed());
 }
 
@@ -352,7 +350,9 @@
                     directory_.extend_grace(clock_.now() + left);
                 },
             .grace_left =
-                [this] { return directory_.grace_left(clock_.now()); }};
+                [this] {
+                    return directory_.grace_left(clock_.now());
+                }};
 }
 
 void gateway::take_changes(const std::vector<policy::store_item>& items)
@@ -470,8 +470,8 @@
                 }};
 }
 
-std::size_t gateway::connection_share(
-    const policy::registered_upstream& upstream) const
+std::size_t
+gateway::connection_share(const policy::registered_upstream& upstream) const
 {
     const auto* known =
         routes_ ? routes_->find_service(upstream.service) : nullptr;
@@ -480,14 +480,13 @@
     // other nodes connect when no node is there, or for other requests.
     const bool is_near = upstream.failure_domain == settings_.failure_domain;
     const auto near = nodes_by_domain_.find(upstream.failure_domain);
-    const auto count = is_near && near != nodes_by_domain_.end()
-                           ? near->second
-                           : node_count_;
+    const auto count =
+        is_near && near != nodes_by_domain_.end() ? near->second : node_count_;
     return std::max<std::size_t>(1, cap / (count + settings_.spare_nodes));
 }
 
-std::size_t gateway::warm_share(
-    const policy::registered_upstream& upstream) const
+std::size_t
+gateway::warm_share(const policy::registered_upstream& upstream) const
 {
     const bool is_near = upstream.failure_domain == settings_.failure_domain;
     return is_near && !passes_on_own_domain_ ? warm_connections : 0;
@@ -506,9 +505,11 @@
         .max_connections =
             [this, registration] { return connection_share(registration); },
         .warm_connections =
-            [this, registration] { return warm_share(registration); }};
-    const auto pool = std::make_shared<upstreams::forward_pool>(
-        io_context_, clock_, options);
+            [this, registration] {
+                return warm_share(registration);
+            }};
+    const auto pool =
+        std::make_shared<upstreams::forward_pool>(io_context_, clock_, options);
     pools_[registration.id] = pool;
     if (!registration.is_draining) {
         pool->warm();
--- a/packages/node/src/gateway_settings.cpp
+++ b/packages/node/src/gateway_settings.cpp
@@ -58,15 +58,24 @@
 gateway_settings::parse(std::string_view text)
 {
     gateway_settings settings;
-    const auto errors = read_settings(
-        text,
-        {{"node", [&](section_reader& each) { read_node(each, settings); }},
-         {"addresses",
-          [&](section_reader& each) { read_addresses(each, settings); }},
-         {"fleet", [&](section_reader& each) { read_fleet(each, settings); }},
-         {"extra attempts",
-          [&](section_reader& each) { read_extra_attempts(each, settings); }}},
-        {});
+    const auto errors = read_settings(text,
+                                      {{"node",
+                                        [&](section_reader& each) {
+                                            read_node(each, settings);
+                                        }},
+                                       {"addresses",
+                                        [&](section_reader& each) {
+                                            read_addresses(each, settings);
+                                        }},
+                                       {"fleet",
+                                        [&](section_reader& each) {
+                                            read_fleet(each, settings);
+                                        }},
+                                       {"extra attempts",
+                                        [&](section_reader& each) {
+                                            read_extra_attempts(each, settings);
+                                        }}},
+                                      {});
     if (!errors.empty()) {
         return errors;
     }
--- a/packages/node/src/news_service.cpp
+++ b/packages/node/src/news_service.cpp
@@ -52,11 +52,12 @@
 
 platform::news_follower::observer news_service::watch_follower()
 {
-    return {.listed = [this](const std::vector<store_item>& items,
-                             std::uint64_t revision) {
-                replace(items, revision);
-                push(make_full_news().items, 0);
-            },
+    return {.listed =
+                [this](const std::vector<store_item>& items,
+                       std::uint64_t revision) {
+                    replace(items, revision);
+                    push(make_full_news().items, 0);
+                },
             .changed =
                 [this](const std::vector<store_item>& items,
                        std::uint64_t revision) {
@@ -199,8 +200,8 @@
     }
     for (auto& [key, known] : items_) {
         const auto found = next.find(key);
-        const auto listed = found != next.end() ? found->second.revision
-                                                : revision;
+        const auto listed =
+            found != next.end() ? found->second.revision : revision;
         if (known.revision > listed) {
             next[key] = known;
         }
@@ -238,8 +239,9 @@
     news.items = items;
     const auto body = peers::encode_news(news);
     for (const auto& each : domain_peers()) {
-        peers_->call(each.id(), peers::call_path::news_push, body,
-                     [](std::string_view) {}, [](peers::call_end) {});
+        peers_->call(
+            each.id(), peers::call_path::news_push, body,
+            [](std::string_view) {}, [](peers::call_end) {});
     }
 }
 
@@ -259,8 +261,8 @@
     }
     pulled_at_ = clock_.now();
     std::sort(candidates.begin(), candidates.end(), is_before);
-    const auto tries = static_cast<std::size_t>(
-        pulled_at_.time_since_epoch() / pull_interval);
+    const auto tries =
+        static_cast<std::size_t>(pulled_at_.time_since_epoch() / pull_interval);
     pull(candidates[tries % candidates.size()].id());
 }
 
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -55,14 +55,22 @@
 node_settings::parse(std::string_view text)
 {
     node_settings settings;
-    const auto errors = read_settings(
-        text,
-        {{"node", [&](section_reader& each) { read_node(each, settings); }},
-         {"addresses",
-          [&](section_reader& each) { read_addresses(each, settings); }},
-         {"platform",
-          [&](section_reader& each) { read_platform(each, settings); }}},
-        {{"peers", [&](section_reader& each) { read_peers(each, settings); }}});
+    const auto errors = read_settings(text,
+                                      {{"node",
+                                        [&](section_reader& each) {
+                                            read_node(each, settings);
+                                        }},
+                                       {"addresses",
+                                        [&](section_reader& each) {
+                                            read_addresses(each, settings);
+                                        }},
+                                       {"platform",
+                                        [&](section_reader& each) {
+                                            read_platform(each, settings);
+                                        }}},
+                                      {{"peers", [&](section_reader& each) {
+                                            read_peers(each, settings);
+                                        }}});
     if (!errors.empty()) {
         return errors;
     }
--- a/packages/node/src/peer_group.cpp
+++ b/packages/node/src/peer_group.cpp
@@ -75,7 +75,9 @@
         metrics_.count({"tamarackhoist_gossip_sent_total", {}});
         server_->send_gossip(target, message);
     };
-    hooks.on_change = [this] { members_changed(); };
+    hooks.on_change = [this] {
+        members_changed();
+    };
     hooks.on_transition = [](const member& changed, member_state before) {
         runtime::log_line(event_of(changed.state))
             .add("member", changed.name)
@@ -83,10 +85,15 @@
             .add("before", to_string(before))
             .add("incarnation", changed.incarnation);
     };
-    hooks.on_other_digest = [](const member&, const peers::digest_summary&) {};
-    hooks.on_drain = [](const peers::drain_update&) {};
-    hooks.pull = [this](const member& peer) { pull_members(peer); };
-    hooks.on_ack = [](runtime::time_point) {};
+    hooks.on_other_digest = [](const member&, const peers::digest_summary&) {
+    };
+    hooks.on_drain = [](const peers::drain_update&) {
+    };
+    hooks.pull = [this](const member& peer) {
+        pull_members(peer);
+    };
+    hooks.on_ack = [](runtime::time_point) {
+    };
     return hooks;
 }
 
--- a/packages/node/src/relay_client.cpp
+++ b/packages/node/src/relay_client.cpp
@@ -5,7 +5,6 @@
 namespace tamarackhoist::node
 {
 
-using peers::relay_reply;
 using runtime::event_number;
 
 relay_client::relay_client(std::string failure_domain, std::uint32_t capacity,
@@ -73,8 +72,7 @@
         [](std::string_view) {}, [](peers::call_end) {});
 }
 
-void relay_client::report_silence(relay_call_id id,
-                                  std::string_view request_id,
+void relay_client::report_silence(relay_call_id id, std::string_view request_id,
                                   runtime::duration waited)
 {
     directory_.record_failure(id.peer, clock_.now());
--- a/packages/node/src/relay_server.cpp
+++ b/packages/node/src/relay_server.cpp
@@ -19,8 +19,7 @@
         call->finish();
         const auto cancel = peers::decode_relay_cancel(call->body());
         const auto found =
-            cancel ? calls_.find({cancel->sender, cancel->call})
-                   : calls_.end();
+            cancel ? calls_.find({cancel->sender, cancel->call}) : calls_.end();
         if (found != calls_.end()) {
             const auto running = found->second;
             running->cancel(cancel->shards);
--- a/packages/node/src/relayed_call.cpp
+++ b/packages/node/src/relayed_call.cpp
@@ -15,10 +15,10 @@
                            peers::relay_request request,
                            std::function<void()> over)
     : shared_(std::move(shared)), call_(std::move(call)),
-      request_(std::move(request)),
-      started_(shared_->clock.now()), deadline_(started_ + request_.remaining),
-      over_(std::move(over)), timer_(shared_->io_context),
-      attempts_(request_.targets.size()), open_(request_.targets.size()),
+      request_(std::move(request)), started_(shared_->clock.now()),
+      deadline_(started_ + request_.remaining), over_(std::move(over)),
+      timer_(shared_->io_context), attempts_(request_.targets.size()),
+      open_(request_.targets.size()),
       is_gathering_(request_.gather > runtime::duration::zero())
 {
 }
@@ -90,9 +90,9 @@
 void relayed_call::reply(std::vector<peers::relay_part> parts,
                          std::string records)
 {
-    call_->reply(peers::encode_relay_reply(
-        {std::move(parts), std::move(records),
-         shared_->clock.now() - started_}));
+    call_->reply(
+        peers::encode_relay_reply({std::move(parts), std::move(records),
+                                   shared_->clock.now() - started_}));
 }
 
 void relayed_call::arm_gather_timer()
--- a/packages/node/src/settings_reader.cpp
+++ b/packages/node/src/settings_reader.cpp
@@ -75,8 +75,7 @@
 {
     auto parsed = transport::endpoint::parse(text);
     if (!parsed) {
-        reader.fail(key,
-                    "\"" + text + "\" is not of the form ADDRESS:PORT");
+        reader.fail(key, "\"" + text + "\" is not of the form ADDRESS:PORT");
     }
     return parsed;
 }
@@ -97,11 +96,7 @@
                                                 std::string_view key)
 {
     std::vector<transport::endpoint> endpoints;
-    const auto text = reader.optional_text(key);
-    if (text.empty()) {
-        return endpoints;
-    }
-    for (const auto& each : document::split_list(text)) {
+    for (const auto& each : reader.optional_list(key)) {
         if (auto parsed = parse_endpoint(reader, key, each)) {
             endpoints.push_back(std::move(*parsed));
         }
--- a/packages/node/tests/fan_out_parts_test.cpp
+++ b/packages/node/tests/fan_out_parts_test.cpp
@@ -42,7 +42,8 @@
 void failed_parts_and_foreign_shards_are_left_out()
 {
     node::fan_out_parts parts(2);
-    parts.add({{part(0, "d0"), {1, attempt_result::broken, {}, {}},
+    parts.add({{part(0, "d0"),
+                {1, attempt_result::broken, {}, {}},
                 part(9, "foreign")},
                "one"});
     cr_assert(parts.merge().digests == (std::vector<std::string_view>{"d0"}));
@@ -59,9 +60,18 @@
 
 } // namespace
 
-Test(fan_out_parts, twice) { a_shard_that_came_twice_counts_once(); }
-Test(fan_out_parts, late) { a_single_answer_after_the_merged_one_is_left_out(); }
-Test(fan_out_parts, failed) { failed_parts_and_foreign_shards_are_left_out(); }
+Test(fan_out_parts, twice)
+{
+    a_shard_that_came_twice_counts_once();
+}
+Test(fan_out_parts, late)
+{
+    a_single_answer_after_the_merged_one_is_left_out();
+}
+Test(fan_out_parts, failed)
+{
+    failed_parts_and_foreign_shards_are_left_out();
+}
 Test(fan_out_parts, overlap)
 {
     merged_answers_that_overlap_are_not_both_taken();
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -60,32 +60,32 @@
     {
         static constexpr auto step = std::chrono::milliseconds(10);
         auto timer = std::make_shared<boost::asio::steady_timer>(context, step);
-        timer->async_wait([this, &context, timer, after, wait,
-                           handle = std::move(handle)](
-                              boost::system::error_code error) mutable {
-            if (error) {
-                return;
-            }
-            if (!is_available_) {
-                handle(platform::store_error::unavailable);
-                return;
-            }
-            platform::news_batch batch;
-            {
-                const std::lock_guard guard(mutex_);
-                batch.store_revision = revision_;
-                for (const auto& item : items_) {
-                    if (item.revision > after) {
-                        batch.items.push_back(item);
+        timer->async_wait(
+            [this, &context, timer, after, wait, handle = std::move(handle)](
+                boost::system::error_code error) mutable {
+                if (error) {
+                    return;
+                }
+                if (!is_available_) {
+                    handle(platform::store_error::unavailable);
+                    return;
+                }
+                platform::news_batch batch;
+                {
+                    const std::lock_guard guard(mutex_);
+                    batch.store_revision = revision_;
+                    for (const auto& item : items_) {
+                        if (item.revision > after) {
+                            batch.items.push_back(item);
+                        }
                     }
                 }
-            }
-            if (batch.items.empty() && wait > step) {
-                answer(context, after, wait - step, std::move(handle));
-                return;
-            }
-            handle(std::move(batch));
-        });
+                if (batch.items.empty() && wait > step) {
+                    answer(context, after, wait - step, std::move(handle));
+                    return;
+                }
+                handle(std::move(batch));
+            });
     }
 
     std::mutex mutex_;
@@ -142,10 +142,10 @@
                 [this, id, respond = std::move(respond)](
                     const transport::http_request& request,
                     const transport::http_server::respond& answer) {
-                    seen_request seen{
-                        id, std::string(request.target()),
-                        std::string(request["X-Id"]), request.body(),
-                        std::string(request["X-Expected"])};
+                    seen_request seen{id, std::string(request.target()),
+                                      std::string(request["X-Id"]),
+                                      request.body(),
+                                      std::string(request["X-Expected"])};
                     {
                         const std::lock_guard guard(mutex_);
                         seen_.push_back(seen);
@@ -287,9 +287,9 @@
         namespace http = boost::beast::http;
         constexpr unsigned http_1_1 = 11;
         boost::asio::io_context context;
-        transport::http_request request(
-            body.empty() ? http::verb::get : http::verb::post, target,
-            http_1_1);
+        transport::http_request request(body.empty() ? http::verb::get
+                                                     : http::verb::post,
+                                        target, http_1_1);
         request.set(http::field::host, "h");
         request.set("X-Id", id);
         request.set("X-Left", "2000");
@@ -314,8 +314,7 @@
         }
         if (item.is_removed) {
             return platform::upstream_unregistered{
-                item.key.substr(std::string("servers/").size()),
-                item.revision};
+                item.key.substr(std::string("servers/").size()), item.revision};
         }
         const auto found = registrations_.find(item.key);
         if (found == registrations_.end()) {
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -63,8 +63,8 @@
 {
     for (const auto* domain : {"a", "b"}) {
         for (const auto* service : {"s0", "s1", "s2", "s3"}) {
-            fixture.add_upstream(std::string(service) + domain, service,
-                                 domain, shard_answer);
+            fixture.add_upstream(std::string(service) + domain, service, domain,
+                                 shard_answer);
         }
     }
     fixture.set_routes(1, {fan_out_route(), order_route()});
@@ -79,8 +79,7 @@
 std::size_t digest_count(const transport::http_response& response)
 {
     const auto text = std::string(response["X-Digests"]);
-    return static_cast<std::size_t>(
-               std::count(text.begin(), text.end(), ',')) +
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), ',')) +
            1;
 }
 
@@ -132,8 +131,8 @@
                              shard_answer);
     }
     fixture.add_upstream("s3a", "s3", "a", [](const seen_request&) {
-        return transport::make_response(http::status::internal_server_error,
-                                        {}, "text/plain");
+        return transport::make_response(http::status::internal_server_error, {},
+                                        "text/plain");
     });
     fixture.set_routes(1, {fan_out_route()});
     const auto only = fixture.start("n", "a");
@@ -310,18 +309,51 @@
 
 } // namespace
 
-Test(gateway, fan_out) { a_fan_out_is_merged(); }
-Test(gateway, relay) { a_far_fan_out_goes_through_a_relay(); }
-Test(gateway, dark_shard) { a_dark_shard_is_stated_as_missing(); }
-Test(gateway, order) { an_order_arrives_once_and_unchanged(); }
-Test(gateway, failed_order) { a_failed_order_is_passed_on_and_not_repeated(); }
-Test(gateway, refused_order) { refused_orders_are_said_not_to_be_executed(); }
-Test(gateway, unknown_route) { an_unknown_route_is_not_found(); }
-Test(gateway, no_news) { a_node_without_news_refuses(); }
-Test(gateway, new_version) { a_new_version_is_in_force_without_a_restart(); }
+Test(gateway, fan_out)
+{
+    a_fan_out_is_merged();
+}
+Test(gateway, relay)
+{
+    a_far_fan_out_goes_through_a_relay();
+}
+Test(gateway, dark_shard)
+{
+    a_dark_shard_is_stated_as_missing();
+}
+Test(gateway, order)
+{
+    an_order_arrives_once_and_unchanged();
+}
+Test(gateway, failed_order)
+{
+    a_failed_order_is_passed_on_and_not_repeated();
+}
+Test(gateway, refused_order)
+{
+    refused_orders_are_said_not_to_be_executed();
+}
+Test(gateway, unknown_route)
+{
+    an_unknown_route_is_not_found();
+}
+Test(gateway, no_news)
+{
+    a_node_without_news_refuses();
+}
+Test(gateway, new_version)
+{
+    a_new_version_is_in_force_without_a_restart();
+}
 Test(gateway, news_of_peers)
 {
     a_started_node_learns_from_its_peers_while_the_store_is_down();
 }
-Test(gateway, store_calls) { one_node_of_a_domain_follows_the_store(); }
-Test(gateway, leaving) { a_leaving_node_answers_what_it_has_read(); }
+Test(gateway, store_calls)
+{
+    one_node_of_a_domain_follows_the_store();
+}
+Test(gateway, leaving)
+{
+    a_leaving_node_answers_what_it_has_read();
+}
--- a/packages/peers/src/news_codec.cpp
+++ b/packages/peers/src/news_codec.cpp
@@ -40,8 +40,8 @@
     news.grace = from_microseconds(encoded.grace_us());
     for (auto& each : *encoded.mutable_items()) {
         news.items.push_back({std::move(*each.mutable_key()),
-                              std::move(*each.mutable_value()),
-                              each.revision(), each.is_removed()});
+                              std::move(*each.mutable_value()), each.revision(),
+                              each.is_removed()});
     }
     return news;
 }
--- a/packages/peers/src/relay_codec.cpp
+++ b/packages/peers/src/relay_codec.cpp
@@ -107,7 +107,8 @@
     if (!parse(message, encoded)) {
         return std::nullopt;
     }
-    return relay_cancel{encoded.sender(), encoded.call(),
+    return relay_cancel{encoded.sender(),
+                        encoded.call(),
                         {encoded.shards().begin(), encoded.shards().end()}};
 }
 
--- a/packages/peers/tests/forward_codec_test.cpp
+++ b/packages/peers/tests/forward_codec_test.cpp
@@ -52,8 +52,8 @@
     cr_assert(decoded->parts == reply.parts);
     cr_assert_eq(decoded->records, reply.records);
     cr_assert(decoded->sent_after == 7ms);
-    const auto cancel = peers::decode_relay_cancel(
-        peers::encode_relay_cancel({1, 2, {3, 4}}));
+    const auto cancel =
+        peers::decode_relay_cancel(peers::encode_relay_cancel({1, 2, {3, 4}}));
     cr_assert(cancel.has_value());
     cr_assert_eq(cancel->shards.size(), 2U);
 }
@@ -66,7 +66,8 @@
     news.revision = 9;
     news.age = 1s;
     news.grace = 2s;
-    news.items = {{"k", std::string("\0v", 2), 8, false}, {"gone", {}, 9, true}};
+    news.items = {{"k", std::string("\0v", 2), 8, false},
+                  {"gone", {}, 9, true}};
     const auto decoded = peers::decode_news(peers::encode_news(news));
     cr_assert(decoded.has_value());
     cr_assert_eq(decoded->sender, "n");
@@ -93,7 +94,19 @@
 
 } // namespace
 
-Test(forward_codec, request) { a_relay_request_survives_its_encoding(); }
-Test(forward_codec, reply) { a_relay_reply_survives_its_encoding(); }
-Test(forward_codec, news) { news_survive_their_encoding(); }
-Test(forward_codec, garbage) { arbitrary_bytes_do_no_harm(); }
+Test(forward_codec, request)
+{
+    a_relay_request_survives_its_encoding();
+}
+Test(forward_codec, reply)
+{
+    a_relay_reply_survives_its_encoding();
+}
+Test(forward_codec, news)
+{
+    news_survive_their_encoding();
+}
+Test(forward_codec, garbage)
+{
+    arbitrary_bytes_do_no_harm();
+}
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -79,10 +79,9 @@
         if (prepared.empty()) {
             return;
         }
-        boost::asio::post(context, [handle = std::move(handle),
-                                    result = prepared.front()] {
-            handle(result);
-        });
+        boost::asio::post(context,
+                          [handle = std::move(handle),
+                           result = prepared.front()] { handle(result); });
         prepared.pop_front();
     }
 
@@ -99,8 +98,8 @@
     fixture.run({news_batch{{registration("a")}, 7, "servers/a"},
                  news_batch{{registration("b")}, 9, {}},
                  news_batch{{registration("c")}, 10, {}}});
-    cr_assert(fixture.calls == (texts{"list -", "list servers/a", "watch 7",
-                                      "watch 10"}));
+    cr_assert(fixture.calls ==
+              (texts{"list -", "list servers/a", "watch 7", "watch 10"}));
     cr_assert(fixture.events == (texts{"listed 2", "changed 1"}));
 }
 
@@ -121,10 +120,10 @@
     fixture.run({news_batch{{}, 7, {}}, store_error::refused,
                  store_error::unavailable,
                  news_batch{{registration("a")}, 8, {}}});
-    cr_assert(fixture.calls == (texts{"list -", "watch 7", "watch 7",
-                                      "watch 7", "watch 8"}));
-    cr_assert(fixture.events == (texts{"listed 0", "turned away", "regained",
-                                       "changed 1"}),
+    cr_assert(fixture.calls ==
+              (texts{"list -", "watch 7", "watch 7", "watch 7", "watch 8"}));
+    cr_assert(fixture.events ==
+                  (texts{"listed 0", "turned away", "regained", "changed 1"}),
               "the return is told before the news, so that lapsed "
               "registrations get their grace time");
 }
@@ -135,8 +134,8 @@
     fixture.run({news_batch{{registration("a")}, 7, "servers/a"},
                  store_error::unavailable,
                  news_batch{{registration("a"), registration("b")}, 8, {}}});
-    cr_assert(fixture.calls == (texts{"list -", "list servers/a", "list -",
-                                      "watch 8"}));
+    cr_assert(fixture.calls ==
+              (texts{"list -", "list servers/a", "list -", "watch 8"}));
     cr_assert(fixture.events ==
               (texts{"no usable answer", "regained", "listed 2"}));
 }
@@ -173,7 +172,19 @@
 {
     all_pages_are_read_and_then_watched_from_the_first();
 }
-Test(news_follower, lost_history) { a_lost_history_is_read_anew(); }
-Test(news_follower, failed_watch) { a_failed_watch_goes_on_where_it_was(); }
-Test(news_follower, failed_page) { a_failed_page_starts_the_list_again(); }
-Test(news_follower, revision) { the_revision_never_goes_back(); }
+Test(news_follower, lost_history)
+{
+    a_lost_history_is_read_anew();
+}
+Test(news_follower, failed_watch)
+{
+    a_failed_watch_goes_on_where_it_was();
+}
+Test(news_follower, failed_page)
+{
+    a_failed_page_starts_the_list_again();
+}
+Test(news_follower, revision)
+{
+    the_revision_never_goes_back();
+}
--- a/packages/policy/include/tamarackhoist/policy/forward_context.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_context.hpp
@@ -54,8 +54,8 @@
     /// `excluded`, or nullptr.
     [[nodiscard]] upstream_handle
     choose(std::span<const upstream_handle> candidates,
-           std::span<const upstream_handle> excluded,
-           runtime::duration typical, runtime::time_point now);
+           std::span<const upstream_handle> excluded, runtime::duration typical,
+           runtime::time_point now);
 
 private:
     [[nodiscard]] double expected_seconds(const tracked_upstream& upstream,
--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -207,8 +207,8 @@
 
     [[nodiscard]] upstream_handle pick(const shard_state& shard,
                                        runtime::time_point now);
-    void send(std::size_t index, const upstream_handle& upstream,
-              bool is_extra, runtime::time_point now);
+    void send(std::size_t index, const upstream_handle& upstream, bool is_extra,
+              runtime::time_point now);
     void retry(std::size_t index, bool counts_as_extra,
                runtime::time_point now);
     void decide(decision_kind kind, const shard_state& shard,
--- a/packages/policy/include/tamarackhoist/policy/relay_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/relay_directory.hpp
@@ -37,9 +37,9 @@
 
     /// Returns the node through which upstreams of `domain` are best
     /// reached, or nothing if this node should reach them itself.
-    [[nodiscard]] std::optional<node_id>
-    choose(std::string_view domain, std::size_t shards,
-           runtime::time_point now);
+    [[nodiscard]] std::optional<node_id> choose(std::string_view domain,
+                                                std::size_t shards,
+                                                runtime::time_point now);
 
     void call_started(node_id id, std::size_t shards);
     void call_ended(node_id id, std::size_t shards);
--- a/packages/policy/src/forward_context.cpp
+++ b/packages/policy/src/forward_context.cpp
@@ -102,8 +102,8 @@
     }
     auto found = credits_.find(of.name);
     if (found == credits_.end()) {
-        found = credits_.emplace(of.name, std::map<std::string, double>())
-                    .first;
+        found =
+            credits_.emplace(of.name, std::map<std::string, double>()).first;
     }
     auto& credits = found->second;
     double total = 0.0;
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -80,10 +80,11 @@
     return "no_replica_left";
 }
 
-forward_coordinator::forward_coordinator(
-    forward_context& context, const upstream_directory& directory,
-    const route& of, std::vector<std::string> shards, forward_times times,
-    hooks hooks)
+forward_coordinator::forward_coordinator(forward_context& context,
+                                         const upstream_directory& directory,
+                                         const route& of,
+                                         std::vector<std::string> shards,
+                                         forward_times times, hooks hooks)
     : context_(context), directory_(directory), route_(of),
       latency_(context.latency(of.name)), times_(times),
       hooks_(std::move(hooks))
@@ -127,7 +128,8 @@
                                time_point now)
 {
     auto& shard = shards_[index];
-    shard.attempts.push_back({upstream, now, attempt_state::open, is_extra, {}});
+    shard.attempts.push_back(
+        {upstream, now, attempt_state::open, is_extra, {}});
     ++upstream->in_flight;
     ++counts_.attempts;
     hooks_.send({index, shard.attempts.size() - 1}, upstream);
@@ -216,9 +218,8 @@
 {
     auto& shard = shards_[index];
     const bool has_open = std::any_of(
-        shard.attempts.begin(), shard.attempts.end(), [](const attempt& each) {
-            return each.state == attempt_state::open;
-        });
+        shard.attempts.begin(), shard.attempts.end(),
+        [](const attempt& each) { return each.state == attempt_state::open; });
     if (has_open || shard.winner) {
         return;
     }
@@ -364,8 +365,8 @@
     if (answered_ == 0) {
         return false;
     }
-    const auto coverage = static_cast<double>(answered_) /
-                          static_cast<double>(shards_.size());
+    const auto coverage =
+        static_cast<double>(answered_) / static_cast<double>(shards_.size());
     return route_.is_fan_out() &&
            coverage + coverage_epsilon >= route_.min_coverage;
 }
--- a/packages/policy/src/relay_directory.cpp
+++ b/packages/policy/src/relay_directory.cpp
@@ -55,18 +55,16 @@
     const tracked_node* best = nullptr;
     double best_load = 0.0;
     for (const auto& [id, each] : nodes_) {
-        if (each.node.failure_domain != domain ||
-            each.health.is_suspect(now)) {
+        if (each.node.failure_domain != domain || each.health.is_suspect(now)) {
             continue;
         }
         const auto capacity = capacity_of(each.node.capacity);
-        if (is_own_domain &&
-            capacity < min_speed_up * capacity_of(capacity_)) {
+        if (is_own_domain && capacity < min_speed_up * capacity_of(capacity_)) {
             continue;
         }
-        const auto load =
-            spread(random_) *
-            static_cast<double>(each.open_shards + shards) / capacity;
+        const auto load = spread(random_) *
+                          static_cast<double>(each.open_shards + shards) /
+                          capacity;
         if (best == nullptr || load < best_load) {
             best = &each;
             best_load = load;
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -16,12 +16,11 @@
 void upstream_directory::put(const registered_upstream& entry, time_point now)
 {
     auto& slot = by_id_[entry.id];
-    const bool is_new =
-        slot == nullptr ||
-        slot->registration.started_at != entry.started_at ||
-        slot->registration.address != entry.address ||
-        slot->registration.port != entry.port ||
-        slot->registration.service != entry.service;
+    const bool is_new = slot == nullptr ||
+                        slot->registration.started_at != entry.started_at ||
+                        slot->registration.address != entry.address ||
+                        slot->registration.port != entry.port ||
+                        slot->registration.service != entry.service;
     if (slot != nullptr && entry.revision < slot->registration.revision) {
         return;
     }
--- a/packages/policy/src/upstream_health.cpp
+++ b/packages/policy/src/upstream_health.cpp
@@ -29,7 +29,8 @@
 void upstream_health::add_sample(double ratio, time_point now)
 {
     const auto current = slowness(now);
-    slowness_ = current + sample_weight * (std::min(ratio, max_ratio) - current);
+    slowness_ =
+        current + sample_weight * (std::min(ratio, max_ratio) - current);
     sampled_at_ = now;
 }
 
--- a/packages/policy/tests/fleet_state_test.cpp
+++ b/packages/policy/tests/fleet_state_test.cpp
@@ -68,8 +68,8 @@
 void far_upstreams_are_reached_through_a_node_near_them()
 {
     policy::relay_directory directory("a", 250, 1);
-    directory.set_nodes(std::vector{make_node("a2", "a", 250),
-                                    make_node("b1", "b", 250)});
+    directory.set_nodes(
+        std::vector{make_node("a2", "a", 250), make_node("b1", "b", 250)});
     cr_assert(directory.choose("b", 20, start_of_test) == node_id::of("b1"));
     cr_assert(!directory.choose("a", 20, start_of_test),
               "an equal node in the own domain is not worth a message");
@@ -133,13 +133,22 @@
 
 } // namespace
 
-Test(news_role, first) { the_first_of_a_domain_follows_the_service(); }
-Test(news_role, frozen_follower) { overdue_news_are_fetched_in_order_of_rank(); }
+Test(news_role, first)
+{
+    the_first_of_a_domain_follows_the_service();
+}
+Test(news_role, frozen_follower)
+{
+    overdue_news_are_fetched_in_order_of_rank();
+}
 Test(news_role, whole_fleet_restart)
 {
     a_started_node_that_knows_nothing_asks_soon();
 }
-Test(news_role, peers) { news_from_a_peer_end_the_own_calls(); }
+Test(news_role, peers)
+{
+    news_from_a_peer_end_the_own_calls();
+}
 Test(relay_directory, far)
 {
     far_upstreams_are_reached_through_a_node_near_them();
@@ -148,9 +157,15 @@
 {
     small_nodes_pass_work_on_to_large_ones();
 }
-Test(relay_directory, spread) { open_work_is_spread_by_capacity(); }
+Test(relay_directory, spread)
+{
+    open_work_is_spread_by_capacity();
+}
 Test(relay_directory, silent)
 {
     a_silent_relay_is_avoided_until_it_answers();
 }
-Test(relay_directory, departed) { a_departed_node_is_not_chosen(); }
+Test(relay_directory, departed)
+{
+    a_departed_node_is_not_chosen();
+}
--- a/packages/policy/tests/forward_coordinator_test.cpp
+++ b/packages/policy/tests/forward_coordinator_test.cpp
@@ -28,7 +28,8 @@
                           double allowance = 100.0)
         : directory({[](const policy::upstream_handle&) {},
                      [](const policy::tracked_upstream&) {},
-                     [](const policy::tracked_upstream&) {}}),
+                     [](const policy::tracked_upstream&) {
+                     }}),
           context("a", {ratio, allowance, 10s}, 1, start_of_test - 20s)
     {
         for (std::size_t index = 0; index < services; ++index) {
@@ -92,16 +93,16 @@
     request_fixture(node_fixture& node, policy::route of,
                     time_point started = start_of_test)
         : route(std::move(of)), now(started),
-          coordinator(node.context, node.directory, route, services(),
-                      {now, now + 90ms, now + route.timeout},
-                      {[this](attempt_key key,
-                              const policy::upstream_handle& upstream) {
-                           sent.push_back(
-                               {key, upstream->registration.id, now});
-                       },
-                       [this](attempt_key key) { cancelled.push_back(key); },
-                       [this](forward_outcome end) { outcomes.push_back(end); },
-                       {}})
+          coordinator(
+              node.context, node.directory, route, services(),
+              {now, now + 90ms, now + route.timeout},
+              {[this](attempt_key key,
+                      const policy::upstream_handle& upstream) {
+                   sent.push_back({key, upstream->registration.id, now});
+               },
+               [this](attempt_key key) { cancelled.push_back(key); },
+               [this](forward_outcome end) { outcomes.push_back(end); },
+               {}})
     {
         coordinator.start(now);
     }
@@ -140,11 +141,9 @@
 
     std::size_t attempts_of(std::size_t shard) const
     {
-        return static_cast<std::size_t>(
-            std::count_if(sent.begin(), sent.end(),
-                          [&](const sent_attempt& each) {
-                              return each.key.shard == shard;
-                          }));
+        return static_cast<std::size_t>(std::count_if(
+            sent.begin(), sent.end(),
+            [&](const sent_attempt& each) { return each.key.shard == shard; }));
     }
 
     const policy::route route;
@@ -162,8 +161,7 @@
     cr_assert_eq(request.sent.size(), 4U);
     request.pass(10ms);
     request.answer_first_attempts_but(99);
-    cr_assert(request.outcomes ==
-              std::vector{forward_outcome::complete});
+    cr_assert(request.outcomes == std::vector{forward_outcome::complete});
 }
 
 void the_own_failure_domain_is_asked_first()
@@ -315,8 +313,8 @@
 void an_order_with_a_lost_answer_is_not_repeated()
 {
     node_fixture node(1);
-    request_fixture request(
-        node, node.single(policy::repeatability::at_most_once));
+    request_fixture request(node,
+                            node.single(policy::repeatability::at_most_once));
     request.end({0, 0}, attempt_result::broken);
     cr_assert_eq(request.sent.size(), 1U);
     cr_assert(request.outcomes == std::vector{forward_outcome::unknown});
@@ -325,8 +323,8 @@
 void an_order_that_failed_is_not_repeated()
 {
     node_fixture node(1);
-    request_fixture request(
-        node, node.single(policy::repeatability::at_most_once));
+    request_fixture request(node,
+                            node.single(policy::repeatability::at_most_once));
     request.end({0, 0}, attempt_result::failed);
     cr_assert_eq(request.sent.size(), 1U);
     cr_assert(request.outcomes ==
@@ -336,8 +334,8 @@
 void an_order_is_never_hedged()
 {
     node_fixture node(1);
-    request_fixture request(
-        node, node.single(policy::repeatability::at_most_once));
+    request_fixture request(node,
+                            node.single(policy::repeatability::at_most_once));
     request.pass(999ms);
     cr_assert_eq(request.sent.size(), 1U);
     cr_assert(request.outcomes.empty());
@@ -348,8 +346,8 @@
 void an_order_that_was_refused_may_go_to_another_upstream()
 {
     node_fixture node(1);
-    request_fixture request(
-        node, node.single(policy::repeatability::at_most_once));
+    request_fixture request(node,
+                            node.single(policy::repeatability::at_most_once));
     request.end({0, 0}, attempt_result::not_executed);
     cr_assert_eq(request.sent.size(), 2U);
     request.end({0, 1}, attempt_result::not_executed);
@@ -474,7 +472,10 @@
 {
     a_slow_replica_is_avoided_after_a_few_requests();
 }
-Test(forward_coordinator, failed_shard) { a_failed_shard_is_retried_at_once(); }
+Test(forward_coordinator, failed_shard)
+{
+    a_failed_shard_is_retried_at_once();
+}
 Test(forward_coordinator, lost_answer_of_an_order)
 {
     an_order_with_a_lost_answer_is_not_repeated();
@@ -483,7 +484,10 @@
 {
     an_order_that_failed_is_not_repeated();
 }
-Test(forward_coordinator, silent_order) { an_order_is_never_hedged(); }
+Test(forward_coordinator, silent_order)
+{
+    an_order_is_never_hedged();
+}
 Test(forward_coordinator, refused_order)
 {
     an_order_that_was_refused_may_go_to_another_upstream();
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -261,22 +261,46 @@
 
 } // namespace
 
-Test(extra_attempts, bound) { extra_attempts_keep_their_bound(); }
-Test(extra_attempts, restart) { a_started_process_has_no_saved_allowance(); }
-Test(record_merge, model) { merged_records_are_the_greatest_of_all(); }
+Test(extra_attempts, bound)
+{
+    extra_attempts_keep_their_bound();
+}
+Test(extra_attempts, restart)
+{
+    a_started_process_has_no_saved_allowance();
+}
+Test(record_merge, model)
+{
+    merged_records_are_the_greatest_of_all();
+}
 Test(record_merge, bytes)
 {
     bytes_compare_as_unsigned_and_remainders_are_dropped();
 }
-Test(routing_table, longest_prefix) { the_longest_prefix_wins(); }
-Test(forward_context, weights) { weights_are_followed_closely(); }
-Test(upstream_health, failures) { failures_are_avoided_for_longer_each_time(); }
-Test(upstream_health, slowness) { slowness_is_forgotten_with_time(); }
+Test(routing_table, longest_prefix)
+{
+    the_longest_prefix_wins();
+}
+Test(forward_context, weights)
+{
+    weights_are_followed_closely();
+}
+Test(upstream_health, failures)
+{
+    failures_are_avoided_for_longer_each_time();
+}
+Test(upstream_health, slowness)
+{
+    slowness_is_forgotten_with_time();
+}
 Test(upstream_directory, draining)
 {
     a_draining_upstream_gets_no_new_requests();
 }
-Test(upstream_directory, order_of_news) { older_news_never_replace_newer(); }
+Test(upstream_directory, order_of_news)
+{
+    older_news_never_replace_newer();
+}
 Test(upstream_directory, removal)
 {
     a_removal_takes_effect_at_once_while_the_store_is_steady();
--- a/packages/programs/src/tamarackhoistd.cpp
+++ b/packages/programs/src/tamarackhoistd.cpp
@@ -67,8 +67,7 @@
 // Signals are handled on a thread of their own. Each one only asks for the
 // graceful shutdown, so a second one cuts nothing off.
 template <typename Server>
-void run_until_signalled(Server& server,
-                         const std::function<void()>& on_reload)
+void run_until_signalled(Server& server, const std::function<void()>& on_reload)
 {
     boost::asio::io_context signal_context;
     boost::asio::signal_set signals(signal_context, SIGTERM, SIGINT, SIGHUP);
@@ -165,6 +164,5 @@
                      "[--role node|gateway] [--check_config]\n";
         return exit_wrong_use;
     }
-    return FLAGS_role == "gateway" ? run_role(run_gateway)
-                                   : run_role(run_node);
+    return FLAGS_role == "gateway" ? run_role(run_gateway) : run_role(run_node);
 }
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
@@ -83,8 +83,8 @@
     [[nodiscard]] runtime::duration idle_time() const;
 
 private:
-    using parser_type = boost::beast::http::response_parser<
-        boost::beast::http::string_body>;
+    using parser_type =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     forward_connection(boost::asio::io_context& context, runtime::clock clock,
                        options options,
--- a/packages/upstreams/src/forward_connection.cpp
+++ b/packages/upstreams/src/forward_connection.cpp
@@ -13,7 +13,6 @@
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
@@ -38,13 +37,14 @@
 
 } // namespace
 
-std::shared_ptr<forward_connection> forward_connection::create(
-    asio::io_context& context, runtime::clock clock, options options,
-    std::function<void(bool)> opened, std::function<void()> closed)
+std::shared_ptr<forward_connection>
+forward_connection::create(asio::io_context& context, runtime::clock clock,
+                           options options, std::function<void(bool)> opened,
+                           std::function<void()> closed)
 {
-    std::shared_ptr<forward_connection> created(new forward_connection(
-        context, std::move(clock), std::move(options), std::move(opened),
-        std::move(closed)));
+    std::shared_ptr<forward_connection> created(
+        new forward_connection(context, std::move(clock), std::move(options),
+                               std::move(opened), std::move(closed)));
     created->start_connect();
     return created;
 }
@@ -63,8 +63,7 @@
 {
     auto self = shared_from_this();
     error_code error;
-    const auto address =
-        asio::ip::make_address(options_.target.address, error);
+    const auto address = asio::ip::make_address(options_.target.address, error);
     if (error) {
         asio::post(socket_.get_executor(),
                    [self] { self->connect_ended(false); });
@@ -108,8 +107,7 @@
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
     ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                 &unacknowledged_timeout_ms,
-                 sizeof(unacknowledged_timeout_ms));
+                 &unacknowledged_timeout_ms, sizeof(unacknowledged_timeout_ms));
 }
 
 bool forward_connection::is_stale() const
@@ -149,15 +147,14 @@
 void forward_connection::write_rest(std::size_t written)
 {
     auto self = shared_from_this();
-    asio::async_write(
-        socket_, asio::buffer(request_.bytes) + written,
-        [self](error_code error, std::size_t) {
-            if (error) {
-                self->fail();
-                return;
-            }
-            self->is_written_ = true;
-        });
+    asio::async_write(socket_, asio::buffer(request_.bytes) + written,
+                      [self](error_code error, std::size_t) {
+                          if (error) {
+                              self->fail();
+                              return;
+                          }
+                          self->is_written_ = true;
+                      });
 }
 
 void forward_connection::begin_message()
@@ -242,9 +239,8 @@
 void forward_connection::message_complete()
 {
     const auto& response = parser_->get();
-    const bool is_interim =
-        http::to_status_class(response.result()) ==
-        http::status_class::informational;
+    const bool is_interim = http::to_status_class(response.result()) ==
+                            http::status_class::informational;
     const auto id = response.find(options_.request_id_field);
     const bool is_foreign =
         id == response.end() || id->value() != request_.request_id;
--- a/packages/upstreams/src/forward_pool.cpp
+++ b/packages/upstreams/src/forward_pool.cpp
@@ -26,12 +26,11 @@
                    forward_connection::result_handler handle)
 {
     const auto id = next_ticket_++;
-    const auto place = std::find_if(waiting_.begin(), waiting_.end(),
-                                    [&](const waiting_request& each) {
-                                        return each.priority > priority;
-                                    });
-    waiting_.insert(place, {id, priority, use, std::move(request),
-                            std::move(handle)});
+    const auto place = std::find_if(
+        waiting_.begin(), waiting_.end(),
+        [&](const waiting_request& each) { return each.priority > priority; });
+    waiting_.insert(place,
+                    {id, priority, use, std::move(request), std::move(handle)});
     dispatch();
     return id;
 }
@@ -109,11 +108,10 @@
         }
         // A request that needs a fresh connection takes the place of an old
         // idle one.
-        const auto old = std::find_if(
-            connections_.begin(), connections_.end(),
-            [](const pooled_connection& each) {
-                return each.connection->is_idle();
-            });
+        const auto old = std::find_if(connections_.begin(), connections_.end(),
+                                      [](const pooled_connection& each) {
+                                          return each.connection->is_idle();
+                                      });
         if (old == connections_.end()) {
             return;
         }
--- a/packages/upstreams/tests/forward_pool_test.cpp
+++ b/packages/upstreams/tests/forward_pool_test.cpp
@@ -31,7 +31,10 @@
                   .connection = {.target = upstream.where(),
                                  .request_id_field = "X-Id"},
                   .max_connections = [connections] { return connections; },
-                  .warm_connections = [] { return std::size_t(0); }}))
+                  .warm_connections =
+                      [] {
+                          return std::size_t(0);
+                      }}))
     {
     }
 
@@ -99,8 +102,8 @@
     constexpr std::size_t body_bytes = 50'000;
     pool_fixture fixture(
         [](const std::string& head, int) {
-            return scripted_upstream::reply{
-                make_reply(id_of(head), std::string(body_bytes, id_of(head)[0]))};
+            return scripted_upstream::reply{make_reply(
+                id_of(head), std::string(body_bytes, id_of(head)[0]))};
         },
         connections);
     std::size_t expected = 0;
@@ -221,9 +224,8 @@
 
 void a_cancelled_exchange_closes_its_connection()
 {
-    pool_fixture fixture([](const std::string&, int) {
-        return scripted_upstream::reply{""};
-    });
+    pool_fixture fixture(
+        [](const std::string&, int) { return scripted_upstream::reply{""}; });
     const auto running = fixture.send("first");
     fixture.settle();
     cr_assert(fixture.pool->cancel(running));
@@ -238,9 +240,8 @@
     scripted_upstream gone(context, [](const std::string&, int) {
         return scripted_upstream::reply{};
     });
-    pool_fixture fixture([](const std::string&, int) {
-        return scripted_upstream::reply{};
-    });
+    pool_fixture fixture(
+        [](const std::string&, int) { return scripted_upstream::reply{}; });
     auto target = gone.where();
     target.port = 1;
     fixture.pool = std::make_shared<upstreams::forward_pool>(
@@ -248,7 +249,10 @@
         upstreams::forward_pool::options{
             .connection = {.target = target, .request_id_field = "X-Id"},
             .max_connections = [] { return std::size_t(1); },
-            .warm_connections = [] { return std::size_t(0); }});
+            .warm_connections =
+                [] {
+                    return std::size_t(0);
+                }});
     fixture.send("r");
     fixture.run_until(1);
     cr_assert(fixture.results[0].status == forward_status::not_sent);
@@ -275,29 +279,50 @@
 
 } // namespace
 
-Test(forward_pool, kept) { connections_are_kept(); }
+Test(forward_pool, kept)
+{
+    connections_are_kept();
+}
 Test(forward_pool, concurrent_answers)
 {
     answers_that_arrive_together_stay_apart();
 }
-Test(forward_pool, late_second_answer) { a_late_second_answer_is_skipped(); }
-Test(forward_pool, extra_bytes) { a_connection_with_extra_bytes_is_closed(); }
+Test(forward_pool, late_second_answer)
+{
+    a_late_second_answer_is_skipped();
+}
+Test(forward_pool, extra_bytes)
+{
+    a_connection_with_extra_bytes_is_closed();
+}
 Test(forward_pool, no_identity)
 {
     an_answer_without_an_identity_is_not_taken();
 }
-Test(forward_pool, spoiled) { spoiled_and_cut_answers_are_broken(); }
+Test(forward_pool, spoiled)
+{
+    spoiled_and_cut_answers_are_broken();
+}
 Test(forward_pool, no_length)
 {
     an_answer_without_a_length_ends_with_its_connection();
 }
-Test(forward_pool, urgency) { urgent_requests_leave_first(); }
-Test(forward_pool, cancelled_waiting) { a_cancelled_request_is_never_sent(); }
+Test(forward_pool, urgency)
+{
+    urgent_requests_leave_first();
+}
+Test(forward_pool, cancelled_waiting)
+{
+    a_cancelled_request_is_never_sent();
+}
 Test(forward_pool, cancelled_running)
 {
     a_cancelled_exchange_closes_its_connection();
 }
-Test(forward_pool, refused) { a_refused_connection_sends_nothing(); }
+Test(forward_pool, refused)
+{
+    a_refused_connection_sends_nothing();
+}
 Test(forward_pool, order)
 {
     an_order_does_not_take_an_old_idle_connection();
--- /dev/null
+++ b/stand_ins/soak/gateway_process.cpp
@@ -0,0 +1,113 @@
+#include "gateway_process.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace tamarackhoist::soak
+{
+
+namespace
+{
+
+transport::endpoint free_endpoint()
+{
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+} // namespace
+
+gateway_process::gateway_process(gateway_options options)
+    : options_(std::move(options)), callers_(free_endpoint()),
+      readiness_(free_endpoint()), metrics_(free_endpoint()),
+      peers_(free_endpoint())
+{
+}
+
+gateway_process::~gateway_process()
+{
+    if (process_ > 0) {
+        ::kill(process_, SIGKILL);
+        ::waitpid(process_, nullptr, 0);
+    }
+}
+
+std::string gateway_process::settings_path() const
+{
+    return options_.directory + "/" + options_.name + ".ini";
+}
+
+void gateway_process::write_settings() const
+{
+    std::ofstream file(settings_path());
+    file << "[node]\nid = " << options_.name
+         << "\nfailure_domain = " << options_.failure_domain
+         << "\ncores = 1\nshutdown_grace = 6s\n[addresses]\ncallers = "
+         << callers_.to_text() << "\nreadiness = " << readiness_.to_text()
+         << "\npeers = " << peers_.to_text()
+         << "\nmetrics = " << metrics_.to_text()
+         << "\nstore = " << options_.store.to_text() << "\nseeds = ";
+    for (std::size_t index = 0; index < options_.seeds.size(); ++index) {
+        file << (index > 0 ? "," : "") << options_.seeds[index].to_text();
+    }
+    file << "\n[fleet]\nspare_nodes = 4\ncaller_delay = 1ms\n"
+            "news_age = 3000ms\n[extra attempts]\nratio = 0.2\n"
+            "allowance = 200\nwindow = 10s\n";
+}
+
+void gateway_process::start()
+{
+    write_settings();
+    is_end_expected_ = false;
+    const auto config = "--config=" + settings_path();
+    const auto log = options_.directory + "/" + options_.name + ".log";
+    process_ = ::fork();
+    if (process_ != 0) {
+        return;
+    }
+    const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(file, STDOUT_FILENO);
+    ::dup2(file, STDERR_FILENO);
+    ::execl(options_.program.c_str(), options_.program.c_str(),
+            "--role=gateway", config.c_str(), nullptr);
+    ::_exit(127);
+}
+
+void gateway_process::signal(int number)
+{
+    if (process_ > 0) {
+        ::kill(process_, number);
+    }
+}
+
+bool gateway_process::is_running()
+{
+    if (process_ <= 0) {
+        return false;
+    }
+    int status = 0;
+    if (::waitpid(process_, &status, WNOHANG) != process_) {
+        return true;
+    }
+    process_ = -1;
+    if (!is_end_expected_) {
+        crash_ = options_.name + " ended by itself with status " +
+                 std::to_string(status);
+    }
+    return false;
+}
+
+std::optional<std::string> gateway_process::take_crash()
+{
+    return std::exchange(crash_, std::nullopt);
+}
+
+} // namespace tamarackhoist::soak
--- /dev/null
+++ b/stand_ins/soak/soak_store.hpp
@@ -0,0 +1,55 @@
+#ifndef TAMARACKHOIST_SOAK_SOAK_STORE_HPP
+#define TAMARACKHOIST_SOAK_SOAK_STORE_HPP
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <tamarackhoist/transport/http_server.hpp>
+
+namespace tamarackhoist::soak
+{
+
+/// Stand-in of the users' store: items by key, one revision counter, and
+/// watches that wait for changes.
+class soak_store
+{
+public:
+    explicit soak_store(boost::asio::io_context& context);
+
+    [[nodiscard]] transport::endpoint where() const
+    {
+        return {"127.0.0.1", server_->port()};
+    }
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    /// Drops the history: watches from before are told that it is gone.
+    void compact() { oldest_ = revision_; }
+
+private:
+    struct item {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool is_removed = false;
+    };
+
+    void answer(const transport::http_request& request,
+                const transport::http_server::respond& respond);
+    void answer_watch(std::uint64_t after, int checks_left,
+                      transport::http_server::respond respond);
+    [[nodiscard]] std::string list() const;
+    [[nodiscard]] std::string changes(std::uint64_t after) const;
+
+    boost::asio::io_context& context_;
+    std::shared_ptr<transport::http_server> server_;
+    std::map<std::string, item> items_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t oldest_ = 0;
+};
+
+} // namespace tamarackhoist::soak
+
+#endif
