--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -14,6 +14,7 @@
 #include <tamarackhoist/node/peer_group.hpp>
 #include <tamarackhoist/node/relay_client.hpp>
 #include <tamarackhoist/node/relay_server.hpp>
+#include <tamarackhoist/node/upstream_pools.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
 #include <tamarackhoist/transport/http_server.hpp>
 
@@ -82,12 +83,6 @@
     take_routes(const std::shared_ptr<const policy::routing_table>& routes);
     void note_unusable(const platform::unusable_value& value);
     void arm_expiry();
-    void open_pool(const policy::tracked_upstream& upstream);
-    void close_pool(const policy::tracked_upstream& upstream);
-    [[nodiscard]] std::size_t
-    connection_share(const policy::registered_upstream& upstream) const;
-    [[nodiscard]] std::size_t
-    warm_share(const policy::registered_upstream& upstream) const;
     void set_gauges();
     void continue_shutdown();
     void check_ready();
@@ -101,20 +96,13 @@
     policy::forward_context context_;
     std::shared_ptr<forwarding> forwarding_;
     std::shared_ptr<const policy::routing_table> routes_;
-    std::map<std::string, std::shared_ptr<upstreams::forward_pool>, std::less<>>
-        pools_;
+    upstream_pools pools_;
     std::map<std::string, std::string, std::less<>> unusable_;
     const platform::item_decoder decode_;
     relay_client relays_;
     std::optional<relay_server> relay_server_;
     std::optional<news_service> news_;
     std::unique_ptr<peer_group> peers_;
-    /// Live nodes, this one included, by failure domain.
-    std::map<std::string, std::size_t, std::less<>> nodes_by_domain_;
-    std::size_t node_count_ = 1;
-    /// Other nodes of the own failure domain are so much faster that this one
-    /// passes its fan-outs on to them.
-    bool passes_on_own_domain_ = false;
     std::shared_ptr<callers::forward_server> callers_;
     std::shared_ptr<transport::http_server> readiness_;
     std::shared_ptr<transport::http_server> metrics_server_;
--- /dev/null
+++ b/packages/node/include/tamarackhoist/node/upstream_pools.hpp
@@ -0,0 +1,67 @@
+#ifndef TAMARACKHOIST_NODE_UPSTREAM_POOLS_HPP
+#define TAMARACKHOIST_NODE_UPSTREAM_POOLS_HPP
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tamarackhoist/policy/registered_upstream.hpp>
+#include <tamarackhoist/policy/routing_table.hpp>
+#include <tamarackhoist/runtime/clock.hpp>
+#include <tamarackhoist/upstreams/forward_pool.hpp>
+
+namespace tamarackhoist::node
+{
+
+/// The connections of this node to every upstream. Each node keeps to its
+/// share of what an upstream accepts from the whole fleet.
+class upstream_pools
+{
+public:
+    using node_counts = std::map<std::string, std::size_t, std::less<>>;
+
+    upstream_pools(boost::asio::io_context& context, runtime::clock clock,
+                   std::string failure_domain, std::size_t spare_nodes,
+                   std::string request_id_field);
+
+    void open(const policy::registered_upstream& upstream);
+    void close(const policy::registered_upstream& upstream);
+
+    /// Returns the pool of an upstream, or nullptr.
+    [[nodiscard]] std::shared_ptr<upstreams::forward_pool>
+    find(std::string_view upstream) const;
+
+    void set_routes(std::shared_ptr<const policy::routing_table> routes);
+
+    /// Takes the live nodes of each failure domain, this one included.
+    /// `passes_on` tells whether this node sends fan-outs of its own failure
+    /// domain through others.
+    void set_nodes(node_counts by_domain, bool passes_on);
+
+    [[nodiscard]] std::size_t connection_count() const;
+
+private:
+    [[nodiscard]] bool
+    is_near(const policy::registered_upstream& upstream) const;
+    [[nodiscard]] std::size_t
+    connection_share(const policy::registered_upstream& upstream) const;
+    [[nodiscard]] std::size_t
+    warm_share(const policy::registered_upstream& upstream) const;
+
+    boost::asio::io_context& context_;
+    const runtime::clock clock_;
+    const std::string failure_domain_;
+    const std::size_t spare_nodes_;
+    const std::string request_id_field_;
+    std::shared_ptr<const policy::routing_table> routes_;
+    node_counts nodes_by_domain_;
+    std::size_t node_count_ = 1;
+    bool passes_on_ = false;
+    std::map<std::string, std::shared_ptr<upstreams::forward_pool>, std::less<>>
+        pools_;
+};
+
+} // namespace tamarackhoist::node
+
+#endif
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <random>
-#include <tamarackhoist/policy/identifier.hpp>
-#include <tamarackhoist/runtime/log_line.hpp>
 
 namespace tamarackhoist::node
 {
@@ -32,8 +30,6 @@
 constexpr int gather_tenths = 8;
 /// Time for a relay's report beyond its gathering.
 constexpr duration relay_patience = std::chrono::milliseconds(12);
-/// One in this many complete requests is logged, chosen by its identity.
-constexpr std::uint64_t sampled_one_in = 64;
 
 callers::forward_answer make_own_answer(http::status status)
 {
@@ -78,6 +74,7 @@
       exchange_(std::move(exchange)), times_(make_times()),
       head_(make_request_head(exchange_->request(), shared_->fields)),
       request_id_(exchange_->request()[shared_->fields.request_id]),
+      summary_{request_id_, route_.name, routes_->version(), times_},
       timer_(shared_->io_context), silence_timer_(shared_->io_context),
       parts_(route_.shards.size())
 {
@@ -144,7 +141,7 @@
             .finish = [this](forward_outcome outcome) { finish(outcome); },
             .decided =
                 [this](const policy::attempt_decision& decision) {
-                    log_decision(decision);
+                    log_decision(request_id_, decision);
                 }});
     coordinator_->start(shared_->clock.now());
     decided();
@@ -448,92 +445,8 @@
 {
     timer_.cancel();
     exchange_->respond(make_final_answer(outcome));
-    report(outcome);
-}
-
-void forwarded_request::log_decision(const policy::attempt_decision& decision)
-{
-    runtime::log_line(runtime::event_number::request_attempted_again)
-        .add("request", request_id_)
-        .add("decision", policy::to_string(decision.kind))
-        .add("service", decision.service)
-        .add("previous", decision.previous)
-        .add("chosen", decision.chosen)
-        .add("waited_ms", decision.waited)
-        .add("hedge_delay_ms", decision.hedge_delay)
-        .add("budget_left", decision.budget_left);
-}
-
-void forwarded_request::report(forward_outcome outcome)
-{
-    const auto elapsed = shared_->clock.now() - times_.started;
-    const auto labels = "route=\"" + route_.name + "\",outcome=\"" +
-                        policy::to_string(outcome) + "\"";
-    auto& metrics = shared_->metrics;
-    const auto& counts = coordinator_->counts();
-    metrics.count({"tamarackhoist_requests_total", labels});
-    metrics.observe(
-        {"tamarackhoist_request_seconds", "route=\"" + route_.name + "\""},
-        elapsed);
-    metrics.count({"tamarackhoist_attempts_total", "kind=\"first\""},
-                  counts.attempts - counts.hedges - counts.retries);
-    metrics.count({"tamarackhoist_attempts_total", "kind=\"hedge\""},
-                  counts.hedges);
-    metrics.count({"tamarackhoist_attempts_total", "kind=\"retry\""},
-                  counts.retries);
-    metrics.count({"tamarackhoist_attempts_denied_total", ""},
-                  counts.denied_by_budget);
-    if (outcome == forward_outcome::complete) {
-        if (policy::hash_text(request_id_) % sampled_one_in == 0) {
-            log_outcome(runtime::event_number::request_sampled, outcome,
-                        elapsed);
-        }
-        return;
-    }
-    log_outcome(outcome == forward_outcome::not_executed
-                    ? runtime::event_number::request_not_executed
-                    : runtime::event_number::request_not_complete,
-                outcome, elapsed);
-    log_missing_shards();
-}
-
-void forwarded_request::log_outcome(runtime::event_number number,
-                                    forward_outcome outcome,
-                                    duration elapsed) const
-{
-    const auto& counts = coordinator_->counts();
-    runtime::log_line(number)
-        .add("request", request_id_)
-        .add("route", route_.name)
-        .add("version", routes_->version())
-        .add("outcome", policy::to_string(outcome))
-        .add("answered", coordinator_->answered_count())
-        .add("shards", coordinator_->shard_count())
-        .add("attempts", counts.attempts)
-        .add("hedges", counts.hedges)
-        .add("retries", counts.retries)
-        .add("denied_by_budget", counts.denied_by_budget)
-        .add("elapsed_ms", elapsed)
-        .add("on_time_within_ms", times_.on_time_until - times_.started)
-        .add("deadline_ms", times_.deadline - times_.started);
-}
-
-void forwarded_request::log_missing_shards() const
-{
-    for (std::size_t index = 0; index < attempts_.size(); ++index) {
-        if (coordinator_->winner(index)) {
-            continue;
-        }
-        const auto last = coordinator_->last_attempt(index);
-        runtime::log_line(runtime::event_number::shard_missing)
-            .add("request", request_id_)
-            .add("service", coordinator_->service(index))
-            .add("attempts", last.count)
-            .add("upstream", last.upstream)
-            .add("result", last.result)
-            .add("ready_upstreams",
-                 shared_->directory.ready(coordinator_->service(index)).size());
-    }
+    report_request(summary_, *coordinator_, outcome, shared_->clock.now(),
+                   shared_->directory, shared_->metrics);
 }
 
 } // namespace tamarackhoist::node
--- a/packages/node/src/forwarded_request.hpp
+++ b/packages/node/src/forwarded_request.hpp
@@ -2,6 +2,7 @@
 #define TAMARACKHOIST_NODE_FORWARDED_REQUEST_HPP
 
 #include "fan_out_parts.hpp"
+#include "request_report.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
@@ -9,7 +10,6 @@
 #include <span>
 #include <tamarackhoist/node/forwarding.hpp>
 #include <tamarackhoist/policy/forward_coordinator.hpp>
-#include <tamarackhoist/runtime/event.hpp>
 #include <vector>
 
 namespace tamarackhoist::node
@@ -67,12 +67,6 @@
     void decided();
     void ended(policy::attempt_key key, upstreams::forward_result result);
     void finish(policy::forward_outcome outcome);
-    void report(policy::forward_outcome outcome);
-    void log_decision(const policy::attempt_decision& decision);
-    void log_outcome(runtime::event_number number,
-                     policy::forward_outcome outcome,
-                     runtime::duration elapsed) const;
-    void log_missing_shards() const;
     void arm_timer();
     [[nodiscard]] callers::forward_answer
     make_final_answer(policy::forward_outcome outcome) const;
@@ -87,6 +81,7 @@
     const policy::forward_times times_;
     const std::string head_;
     const std::string request_id_;
+    const request_summary summary_;
     boost::asio::steady_timer timer_;
     runtime::time_point armed_for_{};
     boost::asio::steady_timer silence_timer_;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -24,7 +24,6 @@
 /// The process ends this long before it would be killed.
 constexpr duration shutdown_margin = 300ms;
 constexpr duration shutdown_check = 50ms;
-constexpr std::size_t warm_connections = 1;
 
 callers::forward_answer make_not_found()
 {
@@ -32,14 +31,6 @@
         static_cast<unsigned>(http::status::not_found), "Not Found", {}, {}};
 }
 
-std::uint64_t microseconds_since_epoch()
-{
-    using namespace std::chrono;
-    return static_cast<std::uint64_t>(
-        duration_cast<microseconds>(system_clock::now().time_since_epoch())
-            .count());
-}
-
 std::uint32_t thousandths(double cores)
 {
     constexpr double thousand = 1000.0;
@@ -58,7 +49,7 @@
 {
     std::unique_ptr<gateway> created(
         new gateway(std::move(settings), std::move(clock), std::move(adapt),
-                    microseconds_since_epoch()));
+                    runtime::microseconds_since_epoch()));
     BOOST_OUTCOME_TRY(created->listen());
     return created;
 }
@@ -72,19 +63,18 @@
                 .allowance = 0.0,
                 .window = settings_.extra_attempt_window},
                policy::hash_text(settings_.name), clock_.now()),
+      pools_(io_context_, clock_, settings_.failure_domain,
+             settings_.spare_nodes, adapt.fields.request_id),
       decode_(std::move(adapt.decode)),
       relays_(settings_.failure_domain, thousandths(settings_.cores),
               incarnation, clock_),
       expiry_timer_(io_context_), shutdown_timer_(io_context_)
 {
-    forwarding_ = std::make_shared<forwarding>(
-        forwarding{io_context_, clock_, std::move(adapt.fields),
-                   settings_.caller_delay, context_, directory_, metrics_,
-                   [this](const std::string& upstream) {
-                       const auto found = pools_.find(upstream);
-                       return found == pools_.end() ? nullptr : found->second;
-                   },
-                   &relays_});
+    forwarding_ = std::make_shared<forwarding>(forwarding{
+        io_context_, clock_, std::move(adapt.fields), settings_.caller_delay,
+        context_, directory_, metrics_,
+        [this](const std::string& upstream) { return pools_.find(upstream); },
+        &relays_});
     relay_server_.emplace(forwarding_);
     news_.emplace(io_context_, clock_,
                   adapt.make_store(io_context_, settings_.store),
@@ -250,12 +240,8 @@
 
 void gateway::set_gauges()
 {
-    std::size_t connections = 0;
-    for (const auto& [id, pool] : pools_) {
-        connections += pool->connection_count();
-    }
     metrics_.set({"tamarackhoist_upstream_connections", ""},
-                 static_cast<double>(connections));
+                 static_cast<double>(pools_.connection_count()));
     metrics_.set({"tamarackhoist_upstreams", ""},
                  static_cast<double>(directory_.size()));
     metrics_.set({"tamarackhoist_configuration_version", ""},
@@ -320,19 +306,19 @@
     if (peers_ == nullptr) {
         return;
     }
-    nodes_by_domain_.clear();
-    nodes_by_domain_[settings_.failure_domain] = 1;
-    node_count_ = 1;
+    std::map<std::string, std::size_t, std::less<>> nodes;
+    nodes[settings_.failure_domain] = 1;
+    std::size_t count = 1;
     for (const auto& each : peers_->live_peers()) {
-        ++nodes_by_domain_[each.failure_domain];
-        ++node_count_;
+        ++nodes[each.failure_domain];
+        ++count;
     }
     context_.set_allowance(
         static_cast<double>(settings_.extra_attempt_allowance) /
-        static_cast<double>(node_count_ + settings_.spare_nodes));
+        static_cast<double>(count + settings_.spare_nodes));
     relays_.members_changed();
-    passes_on_own_domain_ =
-        relays_.choose(settings_.failure_domain, 1).has_value();
+    pools_.set_nodes(std::move(nodes),
+                     relays_.choose(settings_.failure_domain, 1).has_value());
     news_->members_changed();
 }
 
@@ -412,6 +398,7 @@
         return;
     }
     routes_ = routes;
+    pools_.set_routes(routes);
     log_event(event_number::routes_in_force,
               "version " + std::to_string(routes_->version()) + " routes " +
                   std::to_string(routes_->route_count()));
@@ -457,7 +444,7 @@
 {
     return {.added =
                 [this](const policy::upstream_handle& upstream) {
-                    open_pool(*upstream);
+                    pools_.open(upstream->registration);
                 },
             .draining =
                 [](const policy::tracked_upstream& upstream) {
@@ -466,68 +453,8 @@
                 },
             .gone =
                 [this](const policy::tracked_upstream& upstream) {
-                    close_pool(upstream);
+                    pools_.close(upstream.registration);
                 }};
 }
 
-std::size_t
-gateway::connection_share(const policy::registered_upstream& upstream) const
-{
-    const auto* known =
-        routes_ ? routes_->find_service(upstream.service) : nullptr;
-    const auto cap = known != nullptr ? known->max_connections : 1U;
-    // Parts of fan-outs reach an upstream from its own failure domain only;
-    // other nodes connect when no node is there, or for other requests.
-    const bool is_near = upstream.failure_domain == settings_.failure_domain;
-    const auto near = nodes_by_domain_.find(upstream.failure_domain);
-    const auto count =
-        is_near && near != nodes_by_domain_.end() ? near->second : node_count_;
-    return std::max<std::size_t>(1, cap / (count + settings_.spare_nodes));
-}
-
-std::size_t
-gateway::warm_share(const policy::registered_upstream& upstream) const
-{
-    const bool is_near = upstream.failure_domain == settings_.failure_domain;
-    return is_near && !passes_on_own_domain_ ? warm_connections : 0;
-}
-
-void gateway::open_pool(const policy::tracked_upstream& upstream)
-{
-    const auto& registration = upstream.registration;
-    log_event(event_number::upstream_added,
-              registration.id + " of " + registration.service + " at " +
-                  registration.address + ":" +
-                  std::to_string(registration.port));
-    const upstreams::forward_pool::options options{
-        .connection = {.target = {registration.address, registration.port},
-                       .request_id_field = forwarding_->fields.request_id},
-        .max_connections =
-            [this, registration] { return connection_share(registration); },
-        .warm_connections =
-            [this, registration] {
-                return warm_share(registration);
-            }};
-    const auto pool =
-        std::make_shared<upstreams::forward_pool>(io_context_, clock_, options);
-    pools_[registration.id] = pool;
-    if (!registration.is_draining) {
-        pool->warm();
-    }
-}
-
-void gateway::close_pool(const policy::tracked_upstream& upstream)
-{
-    const auto& registration = upstream.registration;
-    log_event(event_number::upstream_gone,
-              registration.id + " of " + registration.service);
-    const auto found = pools_.find(registration.id);
-    if (found == pools_.end()) {
-        return;
-    }
-    const auto pool = found->second;
-    pools_.erase(found);
-    pool->retire();
-}
-
 } // namespace tamarackhoist::node
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -24,21 +24,14 @@
 /// Time that the last replies to peers need to leave.
 constexpr runtime::duration linger = std::chrono::milliseconds(200);
 
-std::uint64_t microseconds_since_epoch()
-{
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
 } // namespace
 
 runtime::result<std::unique_ptr<node>, std::string>
 node::create(node_settings settings, runtime::clock time)
 {
-    std::unique_ptr<node> created(new node(std::move(settings), std::move(time),
-                                           microseconds_since_epoch()));
+    std::unique_ptr<node> created(
+        new node(std::move(settings), std::move(time),
+                 runtime::microseconds_since_epoch()));
     BOOST_OUTCOME_TRY(created->listen());
     return created;
 }
@@ -231,7 +224,7 @@
 void node::announce_drain(policy::upstream_id target, bool is_leaving)
 {
     const peers::drain_update update{target, is_leaving,
-                                     microseconds_since_epoch()};
+                                     runtime::microseconds_since_epoch()};
     asio::post(peer_server_->gossip_executor(),
                [this, update] { membership_->announce_drain(update); });
 }
--- a/packages/runtime/include/tamarackhoist/runtime/clock.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/clock.hpp
@@ -1,6 +1,7 @@
 #ifndef TAMARACKHOIST_RUNTIME_CLOCK_HPP
 #define TAMARACKHOIST_RUNTIME_CLOCK_HPP
 
+#include <cstdint>
 #include <functional>
 #include <tamarackhoist/runtime/time.hpp>
 
@@ -24,6 +25,10 @@
     now_hook now_;
 };
 
+/// Returns the time of day in microseconds since the Unix epoch. It may jump
+/// and serves only to tell incarnations of a process apart.
+[[nodiscard]] std::uint64_t microseconds_since_epoch();
+
 } // namespace tamarackhoist::runtime
 
 #endif
--- a/packages/runtime/src/clock.cpp
+++ b/packages/runtime/src/clock.cpp
@@ -1,5 +1,7 @@
 #include <tamarackhoist/runtime/clock.hpp>
 
+#include <chrono>
+
 #include <ctime>
 #include <utility>
 
@@ -23,4 +25,12 @@
     return now_();
 }
 
+std::uint64_t microseconds_since_epoch()
+{
+    using namespace std::chrono;
+    return static_cast<std::uint64_t>(
+        duration_cast<microseconds>(system_clock::now().time_since_epoch())
+            .count());
+}
+
 } // namespace tamarackhoist::runtime
--- a/stand_ins/soak/gateway_process.cpp
+++ b/stand_ins/soak/gateway_process.cpp
@@ -1,35 +1,27 @@
 #include "gateway_process.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace tamarackhoist::soak
 {
 
-namespace
-{
-
-transport::endpoint free_endpoint()
+gateway_process::gateway_process(gateway_options options)
+    : options_(std::move(options)), callers_(endpoint_of(0)),
+      readiness_(endpoint_of(1)), metrics_(endpoint_of(2)),
+      peers_(endpoint_of(3))
 {
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(
-        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
-} // namespace
-
-gateway_process::gateway_process(gateway_options options)
-    : options_(std::move(options)), callers_(free_endpoint()),
-      readiness_(free_endpoint()), metrics_(free_endpoint()),
-      peers_(free_endpoint())
+transport::endpoint gateway_process::endpoint_of(int number) const
 {
+    return {options_.address,
+            static_cast<std::uint16_t>(options_.first_port + number)};
 }
 
 gateway_process::~gateway_process()
--- a/stand_ins/soak/gateway_process.hpp
+++ b/stand_ins/soak/gateway_process.hpp
@@ -17,6 +17,10 @@
     std::string directory;
     std::string name;
     std::string failure_domain;
+    /// Loopback address of this run, and the first of four ports that no
+    /// other process of the run uses.
+    std::string address;
+    std::uint16_t first_port = 0;
     transport::endpoint store;
     std::vector<transport::endpoint> seeds;
 };
@@ -47,6 +51,7 @@
     [[nodiscard]] const std::string& name() const { return options_.name; }
 
 private:
+    [[nodiscard]] transport::endpoint endpoint_of(int number) const;
     void write_settings() const;
     [[nodiscard]] std::string settings_path() const;
 
--- a/stand_ins/soak/loopback_proxy.cpp
+++ b/stand_ins/soak/loopback_proxy.cpp
@@ -39,14 +39,14 @@
 loopback_proxy::loopback_proxy(asio::io_context& context,
                                transport::endpoint target)
     : context_(context), target_(std::move(target)),
-      acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0})
+      acceptor_(context, {asio::ip::make_address(target_.address), 0})
 {
     accept();
 }
 
 transport::endpoint loopback_proxy::where() const
 {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    return {target_.address, acceptor_.local_endpoint().port()};
 }
 
 void loopback_proxy::set_state(link_state state)
--- a/stand_ins/soak/loopback_proxy.hpp
+++ b/stand_ins/soak/loopback_proxy.hpp
@@ -30,6 +30,7 @@
 class loopback_proxy
 {
 public:
+    /// Listens on the address of `target`.
     loopback_proxy(boost::asio::io_context& context,
                    transport::endpoint target);
 
--- a/stand_ins/soak/soak.cpp
+++ b/stand_ins/soak/soak.cpp
@@ -1,4 +1,5 @@
 #include "soak_world.hpp"
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <gflags/gflags.h>
@@ -33,8 +34,10 @@
               << checks.succeeded() << " succeeded, " << checks.partial()
               << " partial, " << checks.refused() << " refused, "
               << broken.size() << " promises broken\n";
-    for (const auto& each : broken) {
-        std::cout << "  " << each << '\n';
+    constexpr std::size_t max_lines = 20;
+    for (std::size_t each = 0; each < std::min(broken.size(), max_lines);
+         ++each) {
+        std::cout << "  " << broken[each] << '\n';
     }
     return broken.empty() ? 0 : 1;
 }
--- a/stand_ins/soak/soak_store.cpp
+++ b/stand_ins/soak/soak_store.cpp
@@ -35,10 +35,10 @@
 
 } // namespace
 
-soak_store::soak_store(boost::asio::io_context& context)
-    : context_(context),
+soak_store::soak_store(boost::asio::io_context& context, std::string address)
+    : context_(context), address_(std::move(address)),
       server_(transport::http_server::create(
-                  context.get_executor(), {"127.0.0.1", 0}, {},
+                  context.get_executor(), {address_, 0}, {},
                   [this](const transport::http_request& request,
                          const transport::http_server::respond& respond) {
                       answer(request, respond);
--- a/stand_ins/soak/soak_store.hpp
+++ b/stand_ins/soak/soak_store.hpp
@@ -17,11 +17,11 @@
 class soak_store
 {
 public:
-    explicit soak_store(boost::asio::io_context& context);
+    soak_store(boost::asio::io_context& context, std::string address);
 
     [[nodiscard]] transport::endpoint where() const
     {
-        return {"127.0.0.1", server_->port()};
+        return {address_, server_->port()};
     }
 
     void put(const std::string& key, const std::string& value);
@@ -44,6 +44,7 @@
     [[nodiscard]] std::string changes(std::uint64_t after) const;
 
     boost::asio::io_context& context_;
+    const std::string address_;
     std::shared_ptr<transport::http_server> server_;
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
--- a/stand_ins/soak/soak_upstream.cpp
+++ b/stand_ins/soak/soak_upstream.cpp
@@ -20,18 +20,19 @@
 soak_upstream::soak_upstream(boost::asio::io_context& context,
                              soak_store& store, promises& checks,
                              std::string id, std::string service,
-                             std::string failure_domain)
+                             std::string failure_domain,
+                             const std::string& address)
     : context_(context), store_(store), checks_(checks), id_(std::move(id)),
       service_(std::move(service)), failure_domain_(std::move(failure_domain)),
       server_(transport::http_server::create(
-                  context.get_executor(), {"127.0.0.1", 0}, {},
+                  context.get_executor(), {address, 0}, {},
                   [this](const transport::http_request& request,
                          const transport::http_server::respond& respond) {
                       answer(request, respond);
                   })
                   .value()),
       proxy_(std::make_unique<loopback_proxy>(
-          context, transport::endpoint{"127.0.0.1", server_->port()}))
+          context, transport::endpoint{address, server_->port()}))
 {
     server_->start();
     register_in_store();
--- a/stand_ins/soak/soak_upstream.hpp
+++ b/stand_ins/soak/soak_upstream.hpp
@@ -22,7 +22,7 @@
 public:
     soak_upstream(boost::asio::io_context& context, soak_store& store,
                   promises& checks, std::string id, std::string service,
-                  std::string failure_domain);
+                  std::string failure_domain, const std::string& address);
 
     void set_mood(upstream_mood mood) { mood_ = mood; }
     /// Announces a drain, or that the upstream serves again.
--- a/stand_ins/soak/soak_world.cpp
+++ b/stand_ins/soak/soak_world.cpp
@@ -29,6 +29,19 @@
 constexpr double least_recovered = 0.9;
 constexpr std::size_t max_idle_connections = 20;
 
+/// Below the ports that the system gives to unbound sockets.
+constexpr std::size_t first_gateway_port = 20'000;
+
+/// Returns a loopback address for a run, so that runs beside each other never
+/// meet on a port.
+std::string address_of(std::uint64_t seed)
+{
+    constexpr std::uint64_t hosts = 254;
+    return "127." + std::to_string(1 + seed / hosts / hosts % hosts) + "." +
+           std::to_string(seed / hosts % hosts) + "." +
+           std::to_string(1 + seed % hosts);
+}
+
 const std::vector<std::string> first_shards{"s0", "s1", "s2", "s3", "s4", "s5"};
 const std::vector<std::string> second_shards{"s0", "s1", "s2", "s3",
                                              "t4", "t5", "t6"};
@@ -49,7 +62,8 @@
 } // namespace
 
 soak_world::soak_world(soak_options options)
-    : options_(std::move(options)), random_(options_.seed), store_(context_)
+    : options_(std::move(options)), random_(options_.seed),
+      address_(address_of(options_.seed)), store_(context_, address_)
 {
     build();
 }
@@ -82,7 +96,7 @@
         for (const auto* domain : {"a", "b"}) {
             upstreams_.push_back(std::make_unique<soak_upstream>(
                 context_, store_, checks_, std::string(service) + "-" + domain,
-                service, domain));
+                service, domain, address_));
         }
     }
     publish_routes();
@@ -94,7 +108,9 @@
             std::make_unique<loopback_proxy>(context_, store_.where());
         each.process = std::make_unique<gateway_process>(gateway_options{
             options_.program, options_.directory, "g" + std::to_string(index),
-            domains[index % domains.size()], each.store_link->where(), seeds});
+            domains[index % domains.size()], address_,
+            static_cast<std::uint16_t>(first_gateway_port + index * 4),
+            each.store_link->where(), seeds});
         if (seeds.size() < 3) {
             seeds.push_back(each.process->peers());
         }
--- a/stand_ins/soak/soak_world.hpp
+++ b/stand_ins/soak/soak_world.hpp
@@ -74,6 +74,7 @@
 
     const soak_options options_;
     std::mt19937_64 random_;
+    const std::string address_;
     boost::asio::io_context context_;
     promises checks_;
     soak_store store_;
