--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,13 @@
 	RC_PARAMS="max_success=5000 max_size=80" \
 	    $(BUILD)/packages/replay/promise_fuzz_test -j1
 
+# Real gateways under random faults: make soak SEED=7 SECONDS=10
+SEED ?= 1
+SECONDS ?= 10
+.PHONY: soak
+soak: build
+	$(BUILD)/stand_ins/soak --seed=$(SEED) --seconds=$(SECONDS) \
+	    --program=$(BUILD)/packages/programs/tamarackhoistd
+
 failure-tests: build
 	scripts/failure_tests.sh $(BUILD)
--- a/fuzz/fuzz_peer_messages.cpp
+++ b/fuzz/fuzz_peer_messages.cpp
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <string_view>
 #include <tamarackhoist/peers/gossip_message.hpp>
+#include <tamarackhoist/peers/news_codec.hpp>
 #include <tamarackhoist/peers/peer_codec.hpp>
+#include <tamarackhoist/peers/relay_codec.hpp>
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size)
@@ -19,5 +21,9 @@
     (void)decode_outcome(bytes);
     (void)decode_document_request(bytes);
     (void)decode_sections(bytes);
+    (void)decode_relay_request(bytes);
+    (void)decode_relay_reply(bytes);
+    (void)decode_relay_cancel(bytes);
+    (void)decode_news(bytes);
     return 0;
 }
--- a/packages/node/include/tamarackhoist/node/relay_client.hpp
+++ b/packages/node/include/tamarackhoist/node/relay_client.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <tamarackhoist/node/peer_group.hpp>
@@ -56,6 +57,8 @@
     const std::uint64_t incarnation_;
     const runtime::clock clock_;
     std::uint64_t next_call_ = 1;
+    /// Names of the peers that were ever live, for the log.
+    std::map<policy::node_id, std::string> names_;
 };
 
 } // namespace tamarackhoist::node
--- a/packages/node/src/relay_client.cpp
+++ b/packages/node/src/relay_client.cpp
@@ -22,6 +22,7 @@
     std::vector<policy::relay_node> nodes;
     for (const auto& each : peers_->live_peers()) {
         nodes.push_back({each.id(), each.failure_domain, each.capacity});
+        names_[each.id()] = each.name;
     }
     directory_.set_nodes(nodes);
 }
@@ -78,7 +79,7 @@
     directory_.record_failure(id.peer, clock_.now());
     runtime::log_line(event_number::relay_failed)
         .add("request", request_id)
-        .add("peer", id.peer.value)
+        .add("peer", names_[id.peer])
         .add("waited_ms", waited);
 }
 
