soak: Drain more, hit the orders more, and hold the run's address

Two runs of one seed beside each other met on their ports. Change: two faults in five of upstreams hit the orders', drains are a kind of their own, trouble of the store is rarer; a run holds its address.

--- a/stand_ins/soak/soak_world.cpp
+++ b/stand_ins/soak/soak_world.cpp
@@ -27,10 +27,15 @@
 constexpr auto unplanned_shadow = 6000ms;
 constexpr double order_share = 0.3;
 constexpr double least_recovered = 0.9;
+constexpr std::size_t order_upstreams = 2;
+constexpr double store_fault_share = 0.3;
+/// Part of the upstreams' faults that hit those of the orders.
+constexpr double order_fault_share = 0.4;
 constexpr std::size_t max_idle_connections = 20;
 
 /// Below the ports that the system gives to unbound sockets.
 constexpr std::size_t first_gateway_port = 20'000;
+constexpr std::uint16_t guard_port = 19'999;
 
 /// Returns a loopback address for a run, so that runs beside each other never
 /// meet on a port.
@@ -63,7 +68,10 @@
 
 soak_world::soak_world(soak_options options)
     : options_(std::move(options)), random_(options_.seed),
-      address_(address_of(options_.seed)), store_(context_, address_)
+      address_(address_of(options_.seed)),
+      guard_(context_, {boost::asio::ip::make_address(address_), guard_port},
+             false),
+      store_(context_, address_)
 {
     build();
 }
@@ -269,7 +277,7 @@
     if (is_healing_) {
         return;
     }
-    switch (pick(4)) {
+    switch (pick(5)) {
     case 0:
         disturb_gateway();
         break;
@@ -277,11 +285,17 @@
         disturb_upstream();
         break;
     case 2:
-        disturb_store();
+        drain_upstream();
         break;
-    default:
+    case 3:
         change_configuration();
         break;
+    default:
+        // Trouble of the store excuses late drains, so it comes more rarely.
+        if (chance(store_fault_share)) {
+            disturb_store();
+        }
+        break;
     }
     after(milliseconds(pick(2 * fault_pause.count())),
           [this] { next_fault(); });
@@ -343,7 +357,10 @@
 
 void soak_world::disturb_upstream()
 {
-    auto* each = upstreams_[pick(upstreams_.size())].get();
+    // Those of the orders, which must not run twice, stand last.
+    const auto first =
+        chance(order_fault_share) ? upstreams_.size() - order_upstreams : 0;
+    auto* each = upstreams_[first + pick(upstreams_.size() - first)].get();
     const auto length = milliseconds(300 + pick(4000));
     const auto calm_link = [this, each, length] {
         after(length, [each] { each->proxy().set_state(link_state::open); });
@@ -351,7 +368,7 @@
     const auto calm_mood = [this, each, length] {
         after(length, [each] { each->set_mood(upstream_mood::healthy); });
     };
-    switch (pick(9)) {
+    switch (pick(8)) {
     case 0:
         each->proxy().set_state(link_state::silent);
         calm_link();
@@ -379,18 +396,21 @@
         each->set_mood(upstream_mood::failing);
         calm_mood();
         break;
-    case 7:
+    default:
         each->set_mood(upstream_mood::refusing);
         calm_mood();
         break;
-    default:
-        each->set_draining(true);
-        after(length + promises::drain_time,
-              [each] { each->set_draining(false); });
-        break;
     }
 }
 
+void soak_world::drain_upstream()
+{
+    auto* each = upstreams_[pick(upstreams_.size())].get();
+    each->set_draining(true);
+    const auto length = milliseconds(500 + pick(4000));
+    after(promises::drain_time + length, [each] { each->set_draining(false); });
+}
+
 void soak_world::disturb_store()
 {
     if (chance(0.3)) {
--- a/stand_ins/soak/soak_world.hpp
+++ b/stand_ins/soak/soak_world.hpp
@@ -64,6 +64,7 @@
     void next_fault();
     void disturb_gateway();
     void disturb_upstream();
+    void drain_upstream();
     void disturb_store();
     void change_configuration();
     void restart_later(std::size_t index, std::chrono::milliseconds delay);
@@ -76,6 +77,8 @@
     std::mt19937_64 random_;
     const std::string address_;
     boost::asio::io_context context_;
+    /// Held so that a second run of the seed fails at its start.
+    const boost::asio::ip::tcp::acceptor guard_;
     promises checks_;
     soak_store store_;
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
