soak: Live beside the adapter, since it speaks the platform's protocol

Cause: what speaks to the pages stays in one folder; the soak's store and upstreams stood in stand_ins. Change: platform/soak.

--- a/scripts/break_gateway.sh
+++ b/scripts/break_gateway.sh
@@ -3,9 +3,9 @@
 # the soak notice each one. Usage: scripts/break_gateway.sh BUILD
 set -euo pipefail
 cd "$(dirname "$0")/.."
-soak="$PWD/${1:-build/release}/stand_ins/soak"
+soak="$PWD/${1:-build/release}/platform/soak/soak"
 copy="build/break"
-seeds=$(seq 1 8)
+seeds=$(seq 101 108)
 
 mkdir -p "$copy"
 git archive HEAD | tar -x -C "$copy"
