policy: Say not executed only when nothing is open, and avoid what refuses often

The coverage fell out of reach while other shards were at work, and the answer was 503: a promise that was not true. Both tests fail before and pass after.

--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -169,6 +169,7 @@
     void settle(runtime::time_point now);
     void schedule(runtime::time_point now);
     void finish(forward_outcome outcome, runtime::time_point now);
+    [[nodiscard]] static bool has_open_attempt(const shard_state& shard);
     [[nodiscard]] bool is_enough() const;
     [[nodiscard]] bool has_hope() const;
     [[nodiscard]] forward_outcome failure_outcome() const;
--- a/packages/policy/include/tamarackhoist/policy/upstream_health.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_health.hpp
@@ -31,6 +31,10 @@
     /// so that an avoided upstream is tried again.
     [[nodiscard]] double slowness(runtime::time_point now) const;
 
+    /// Part of the recent requests that were refused or failed, from 0 to 1.
+    /// Falls with time, so that an avoided upstream is tried again.
+    [[nodiscard]] double failure_rate(runtime::time_point now) const;
+
     /// Whether requests should go elsewhere if there is an alternative.
     [[nodiscard]] bool is_suspect(runtime::time_point now) const
     {
@@ -39,9 +43,12 @@
 
 private:
     void add_sample(double ratio, runtime::time_point now);
+    void add_outcome(bool is_failure, runtime::time_point now);
 
     double slowness_ = 1.0;
     runtime::time_point sampled_at_{};
+    double failure_rate_ = 0.0;
+    runtime::time_point outcome_at_{};
     std::uint32_t failures_in_row_ = 0;
     runtime::time_point suspect_until_{};
 };
--- a/packages/policy/src/forward_context.cpp
+++ b/packages/policy/src/forward_context.cpp
@@ -25,6 +25,8 @@
 /// may be slower before another domain's is taken: bytes between failure
 /// domains cost.
 constexpr double remote_penalty = 0.5;
+/// A failed attempt costs a further one, of which a shard has few.
+constexpr double failure_weight = 6.0;
 /// Puts every suspect upstream behind all others.
 constexpr double suspect_penalty_s = 10.0;
 /// Spreads equal upstreams among the nodes.
@@ -131,6 +133,7 @@
     }
     expected *= 1.0 + static_cast<double>(upstream.in_flight) /
                           std::max(1U, registration.slots);
+    expected *= 1.0 + failure_weight * upstream.health.failure_rate(now);
     if (registration.failure_domain != failure_domain_) {
         expected += base * remote_penalty;
     }
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -164,10 +164,7 @@
                                 time_point now)
 {
     auto& shard = shards_[index];
-    const bool has_open = std::any_of(
-        shard.attempts.begin(), shard.attempts.end(),
-        [](const attempt& each) { return each.state == attempt_state::open; });
-    if (has_open || shard.winner) {
+    if (has_open_attempt(shard) || shard.winner) {
         return;
     }
     const auto upstream = shard.attempts.size() < route_.max_attempts
@@ -307,6 +304,13 @@
     }
 }
 
+bool forward_coordinator::has_open_attempt(const shard_state& shard)
+{
+    return std::any_of(
+        shard.attempts.begin(), shard.attempts.end(),
+        [](const attempt& each) { return each.state == attempt_state::open; });
+}
+
 bool forward_coordinator::is_enough() const
 {
     if (answered_ == 0) {
@@ -332,7 +336,8 @@
 {
     bool may_have_run = false;
     for (const auto& shard : shards_) {
-        may_have_run = may_have_run || shard.may_have_run || shard.winner;
+        may_have_run = may_have_run || shard.may_have_run || shard.winner ||
+                       has_open_attempt(shard);
     }
     if (!may_have_run) {
         return forward_outcome::not_executed;
--- a/packages/policy/tests/forward_coordinator_test.cpp
+++ b/packages/policy/tests/forward_coordinator_test.cpp
@@ -366,6 +366,41 @@
     cr_assert(request.outcomes == std::vector{forward_outcome::unknown});
 }
 
+/// Pattern: many shards refuse. The answer is out of reach while other shards
+/// are still at work, so "not executed" would not be true.
+void a_refusal_while_attempts_are_open_promises_nothing()
+{
+    node_fixture node(4);
+    request_fixture request(node, node.fan_out(4));
+    for (std::size_t shard = 0; shard < 2; ++shard) {
+        request.end({shard, 0}, attempt_result::not_executed);
+        request.end({shard, 1}, attempt_result::not_executed);
+    }
+    cr_assert(request.outcomes == std::vector{forward_outcome::unknown});
+    cr_assert_eq(request.cancelled.size(), 2U);
+}
+
+/// Pattern: one replica of each shard refuses most requests while its health
+/// looks good, and requests are rare. The others get them.
+void an_upstream_that_refuses_often_is_avoided()
+{
+    node_fixture node(1);
+    std::size_t first_choices = 0;
+    for (int index = 0; index < 20; ++index) {
+        request_fixture request(node,
+                                node.single(policy::repeatability::idempotent),
+                                start_of_test + index * 500ms);
+        first_choices += request.sent.front().upstream == "s0a" ? 1 : 0;
+        while (!request.coordinator.is_finished()) {
+            const auto latest = request.sent.back();
+            request.end(latest.key, latest.upstream == "s0a"
+                                        ? attempt_result::not_executed
+                                        : attempt_result::answered);
+        }
+    }
+    cr_assert(first_choices <= 5, "%zu of 20", first_choices);
+}
+
 void the_last_failure_is_passed_on_when_nothing_is_left()
 {
     node_fixture node(1);
@@ -496,6 +531,14 @@
 {
     a_refusal_after_a_lost_answer_promises_nothing();
 }
+Test(forward_coordinator, refusals_across_shards)
+{
+    a_refusal_while_attempts_are_open_promises_nothing();
+}
+Test(forward_coordinator, often_refusing_upstream)
+{
+    an_upstream_that_refuses_often_is_avoided();
+}
 Test(forward_coordinator, last_failure)
 {
     the_last_failure_is_passed_on_when_nothing_is_left();
