--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -8,11 +8,13 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <tamarackhoist/node/gateway.hpp>
 #include <tamarackhoist/transport/http_connection.hpp>
 #include <tamarackhoist/transport/http_server.hpp>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 /// Real gateways on loopback ports, with a store and upstreams that the test
@@ -223,12 +225,14 @@
                              .decode =
                                  [this](const policy::store_item& item) {
                                      return decode(item);
-                                 }})
-                .value();
+                                 }});
+        if (!created) {
+            throw std::runtime_error(created.error());
+        }
         callers_.push_back(settings.callers);
         readiness_.push_back(settings.readiness);
         peer_addresses_.push_back(settings.peers);
-        gateways_.push_back(std::move(created));
+        gateways_.push_back(std::move(created).value());
         threads_.emplace_back(
             [running = gateways_.back().get()] { running->run(); });
         return gateways_.size() - 1;
@@ -271,13 +275,24 @@
     fake_store store;
 
 private:
+    /// Returns a loopback address of this process, so that no other process
+    /// takes a port between its choice and its use.
+    static std::string own_address()
+    {
+        constexpr pid_t hosts = 254;
+        const auto process = ::getpid();
+        return "127." + std::to_string(101 + process / hosts / hosts % 100) +
+               "." + std::to_string(process / hosts % hosts) + "." +
+               std::to_string(1 + process % hosts);
+    }
+
     static transport::endpoint free_endpoint()
     {
-        // A port that is free for both protocols.
         boost::asio::io_context context;
+        const auto address = own_address();
         boost::asio::ip::tcp::acceptor tcp(
-            context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-        return {"127.0.0.1", tcp.local_endpoint().port()};
+            context, {boost::asio::ip::make_address(address), 0});
+        return {address, tcp.local_endpoint().port()};
     }
 
     static std::optional<transport::http_response>
