--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -1,10 +1,10 @@
 #include "caller_connection.hpp"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <tamarackhoist/runtime/event.hpp>
+#include <tamarackhoist/transport/read_available.hpp>
 
 namespace tamarackhoist::callers
 {
@@ -17,7 +17,6 @@
 namespace
 {
 
-constexpr std::size_t read_chunk = 16 * 1024;
 /// Bytes of later requests that are kept while one is answered.
 constexpr std::size_t max_pipelined_bytes = 64 * 1024;
 
@@ -26,13 +25,6 @@
 constexpr unsigned status_body_too_large = 413;
 constexpr unsigned status_header_too_large = 431;
 
-/// Buffer for reads; its content is consumed within the read's handler.
-std::array<char, read_chunk>& read_buffer()
-{
-    static std::array<char, read_chunk> buffer;
-    return buffer;
-}
-
 } // namespace
 
 /// The request of a connection that is being answered. Holds no state of its
@@ -115,32 +107,22 @@
     }
     is_reading_ = true;
     auto self = shared_from_this();
-    // Waits without a buffer: the buffer is shared by all connections, and
-    // Asio may fill it well before it runs the handler of the read.
-    socket_.async_wait(tcp::socket::wait_read, [self](error_code error) {
-        self->is_reading_ = false;
-        if (self->state_ == state::closed) {
-            return;
-        }
-        std::size_t size = 0;
-        if (!error) {
-            size = self->socket_.read_some(asio::buffer(read_buffer()), error);
-        }
-        if (error == asio::error::would_block) {
-            self->read();
-            return;
-        }
-        self->read_ended(error, size);
-    });
+    transport::read_available(socket_,
+                              [self](error_code error, std::string_view bytes) {
+                                  self->is_reading_ = false;
+                                  if (self->state_ != state::closed) {
+                                      self->read_ended(error, bytes);
+                                  }
+                              });
 }
 
-void caller_connection::read_ended(error_code error, std::size_t size)
+void caller_connection::read_ended(error_code error, std::string_view bytes)
 {
     if (error) {
         abandon();
         return;
     }
-    unparsed_.append(read_buffer().data(), size);
+    unparsed_.append(bytes);
     if (state_ == state::reading) {
         parse();
     }
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -33,7 +33,7 @@
 
     void begin_request();
     void read();
-    void read_ended(boost::system::error_code error, std::size_t size);
+    void read_ended(boost::system::error_code error, std::string_view bytes);
     void parse();
     [[nodiscard]] bool has_unknown_coding() const;
     void request_complete();
--- /dev/null
+++ b/packages/transport/include/tamarackhoist/transport/read_available.hpp
@@ -0,0 +1,46 @@
+#ifndef TAMARACKHOIST_TRANSPORT_READ_AVAILABLE_HPP
+#define TAMARACKHOIST_TRANSPORT_READ_AVAILABLE_HPP
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <string_view>
+#include <utility>
+
+namespace tamarackhoist::transport
+{
+
+/// Bytes that one call of `read_available` passes on at most.
+inline constexpr std::size_t max_read_bytes = 16 * 1024;
+
+/// Waits until the non-blocking `socket` has bytes, then calls
+/// `handle(error, bytes)` once. The bytes are valid within that call only:
+/// idle connections hold no buffer of their own, since all connections of a
+/// thread share one. `handle` keeps the socket alive.
+template <typename Handler>
+void read_available(boost::asio::ip::tcp::socket& socket, Handler handle)
+{
+    using boost::asio::ip::tcp;
+    // Asio may fill a buffer well before it runs the handler of a read, so the
+    // shared buffer is filled here, after the wait.
+    socket.async_wait(
+        tcp::socket::wait_read, [&socket, handle = std::move(handle)](
+                                    boost::system::error_code error) mutable {
+            static thread_local std::array<char, max_read_bytes> buffer;
+            std::size_t size = 0;
+            if (!error) {
+                size = socket.read_some(boost::asio::buffer(buffer), error);
+            }
+            if (error == boost::asio::error::would_block) {
+                read_available(socket, std::move(handle));
+                return;
+            }
+            handle(error, std::string_view(buffer.data(), size));
+        });
+}
+
+} // namespace tamarackhoist::transport
+
+#endif
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
@@ -95,7 +95,7 @@
     void connect_ended(bool is_open);
     void set_options();
     void read();
-    void read_ended(boost::system::error_code error, std::size_t size);
+    void read_ended(boost::system::error_code error, std::string_view bytes);
     void parse();
     void message_complete();
     void begin_message();
--- a/packages/upstreams/src/forward_connection.cpp
+++ b/packages/upstreams/src/forward_connection.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <tamarackhoist/transport/read_available.hpp>
 
 namespace tamarackhoist::upstreams
 {
@@ -25,16 +26,8 @@
 constexpr int unacknowledged_timeout_ms = 2500;
 /// An idle connection is left alone this long before its upstream's timeout.
 constexpr runtime::duration idle_margin = 500ms;
-constexpr std::size_t read_chunk = 16 * 1024;
 constexpr std::size_t max_header_bytes = 64 * 1024;
 
-/// Buffer for reads; its content is consumed within the read's handler.
-std::array<char, read_chunk>& read_buffer()
-{
-    static std::array<char, read_chunk> buffer;
-    return buffer;
-}
-
 } // namespace
 
 std::shared_ptr<forward_connection>
@@ -168,26 +161,16 @@
 
 void forward_connection::read()
 {
-    // Waits without a buffer: the buffer is shared by all connections, and
-    // Asio may fill it well before it runs the handler of the read.
     auto self = shared_from_this();
-    socket_.async_wait(tcp::socket::wait_read, [self](error_code error) {
-        if (!self->is_open_) {
-            return;
-        }
-        std::size_t size = 0;
-        if (!error) {
-            size = self->socket_.read_some(asio::buffer(read_buffer()), error);
-        }
-        if (error == asio::error::would_block) {
-            self->read();
-            return;
-        }
-        self->read_ended(error, size);
-    });
+    transport::read_available(socket_,
+                              [self](error_code error, std::string_view bytes) {
+                                  if (self->is_open_) {
+                                      self->read_ended(error, bytes);
+                                  }
+                              });
 }
 
-void forward_connection::read_ended(error_code error, std::size_t size)
+void forward_connection::read_ended(error_code error, std::string_view bytes)
 {
     if (error == asio::error::eof && is_busy_ && parser_->got_some()) {
         // An answer without a length ends with its connection.
@@ -203,7 +186,7 @@
         fail();
         return;
     }
-    unparsed_.append(read_buffer().data(), size);
+    unparsed_.append(bytes);
     parse();
     if (is_open_) {
         read();
