policy: Give back extra attempts that were not sent

Cause: a retry or hedge that found no connection kept its part of the window's budget, although no upstream saw it; `give_back` had lost its caller with the relays. Ruled out: giving back attempts whose relay fell silent; they may have arrived. Change: the coordinator gives back what was not sent. Without callers and removed: `store_returned` (its test uses `extend_grace`, with the same bound) and the pool's counts.

--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -63,9 +63,6 @@
     void replace_all(std::span<const registered_upstream> entries,
                      std::uint64_t revision, runtime::time_point now);
 
-    /// Notes that the store answers again after it was away.
-    void store_returned(runtime::time_point now);
-
     /// Grants missing registrations a grace time until `until` at least.
     void extend_grace(runtime::time_point until);
 
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -128,6 +128,9 @@
         retry(key.shard, true, now);
         break;
     case attempt_result::not_sent:
+        if (ended.is_extra) {
+            context_.extras(shard.service).give_back(now);
+        }
         retry(key.shard, ended.is_extra, now);
         break;
     }
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -80,11 +80,6 @@
     }
 }
 
-void upstream_directory::store_returned(time_point now)
-{
-    extend_grace(now + lapse_grace);
-}
-
 void upstream_directory::extend_grace(time_point until)
 {
     grace_until_ = std::max(grace_until_, until);
--- a/packages/policy/tests/forward_coordinator_test.cpp
+++ b/packages/policy/tests/forward_coordinator_test.cpp
@@ -465,8 +465,26 @@
     cr_assert(request.outcomes == std::vector{forward_outcome::partial});
 }
 
+/// Pattern: an upstream just went away, and retries to its sibling find no
+/// connection. What reached no upstream leaves the budget to later requests.
+void an_extra_attempt_that_was_not_sent_is_given_back()
+{
+    node_fixture node(1, 0.0, 1.0);
+    request_fixture request(node,
+                            node.single(policy::repeatability::idempotent));
+    request.end(request.sent[0].key, attempt_result::broken);
+    cr_assert_eq(request.sent.size(), 2U);
+    cr_assert_lt(node.context.extras("s0").left(request.now), 1.0);
+    request.end(request.sent[1].key, attempt_result::not_sent);
+    cr_assert_geq(node.context.extras("s0").left(request.now), 1.0);
+}
+
 } // namespace
 
+Test(forward_coordinator, not_sent_extra)
+{
+    an_extra_attempt_that_was_not_sent_is_given_back();
+}
 Test(forward_coordinator, complete)
 {
     answers_of_all_shards_make_a_complete_answer();
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -231,7 +231,8 @@
     directory_fixture fixture;
     fixture.directory.put(fixture.entry("kept", 1), start_of_test);
     fixture.directory.put(fixture.entry("lost", 1), start_of_test);
-    fixture.directory.store_returned(start_of_test);
+    fixture.directory.extend_grace(start_of_test +
+                                   policy::upstream_directory::lapse_grace);
     fixture.directory.replace_all({}, 2, start_of_test);
     cr_assert_eq(fixture.directory.ready("s").size(), 2U);
     fixture.directory.put(fixture.entry("kept", 3), start_of_test + 1s);
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
@@ -32,11 +32,6 @@
         std::function<std::size_t()> warm_connections;
     };
 
-    struct counts {
-        std::uint64_t opened = 0;
-        std::uint64_t connect_failures = 0;
-    };
-
     forward_pool(boost::asio::io_context& context, runtime::clock clock,
                  options options);
 
@@ -67,7 +62,6 @@
     {
         return connections_.size() + connecting_;
     }
-    [[nodiscard]] const counts& statistics() const { return counts_; }
 
 private:
     struct waiting_request {
@@ -103,7 +97,6 @@
     ticket next_ticket_ = 1;
     bool is_retired_ = false;
     bool is_dispatch_scheduled_ = false;
-    counts counts_;
 };
 
 } // namespace tamarackhoist::upstreams
--- a/packages/upstreams/src/forward_pool.cpp
+++ b/packages/upstreams/src/forward_pool.cpp
@@ -155,7 +155,6 @@
 void forward_pool::open()
 {
     ++connecting_;
-    ++counts_.opened;
     auto self = shared_from_this();
     auto slot = std::make_shared<std::weak_ptr<forward_connection>>();
     auto connection = forward_connection::create(
@@ -180,7 +179,6 @@
     --connecting_;
     std::erase(opening_, connection);
     if (!is_open) {
-        ++counts_.connect_failures;
         fail_waiting();
         return;
     }
