policy: Let urgent hedges through a flood and spread them

It was refused because less urgent requests waited there, although a slot is held free for urgent work; when both slots were taken for a moment, six tries 5 ms apart were over too soon. Ruled out: the budget (never empty in that query), the choice of replica. Change: a hedge waits for nothing of its class or above, as a redirectable first attempt; refused hedges come again after growing pauses (5 to 80 ms); one congested query in an interval limits nothing. Tests: upstream_owner/urgent_hedge_in_a_flood and admission_control/stray_congestion fail before, pass after.

--- a/packages/policy/src/admission_control.cpp
+++ b/packages/policy/src/admission_control.cpp
@@ -11,6 +11,9 @@
 constexpr runtime::duration interval = std::chrono::milliseconds(100);
 /// Part of the finished queries that may be congested without a decrease.
 constexpr double tolerated_congestion = 0.1;
+/// Congested queries of an interval that may be the work of one slow replica:
+/// a node that serves few queries of a class sees two in an interval.
+constexpr double max_stray_congestion = 1;
 constexpr double largest_decrease = 0.5;
 constexpr double smallest_decrease = 0.95;
 constexpr double increase = 1.05;
@@ -81,7 +84,8 @@
     answered_rate_ += smoothing * (closed.answered / seconds - answered_rate_);
     best_rate_ = std::max(best_rate_ * best_rate_decay, answered_rate_);
     const bool is_congested =
-        closed.congested > tolerated_congestion * closed.finished;
+        closed.congested > std::max(max_stray_congestion,
+                                    tolerated_congestion * closed.finished);
     const auto offered_rate = closed.offered / seconds;
     if (is_congested) {
         calm_intervals_ = 0;
--- a/packages/policy/src/query_coordinator.cpp
+++ b/packages/policy/src/query_coordinator.cpp
@@ -16,7 +16,6 @@
 constexpr runtime::duration max_backoff = std::chrono::milliseconds(80);
 /// Hedges of one shard, counting those that a busy replica refused.
 constexpr std::uint32_t max_hedges = 6;
-constexpr runtime::duration hedge_retry_delay = std::chrono::milliseconds(5);
 constexpr std::uint32_t max_restarts = 4;
 /// Refusals of one shard, none of which reached an upstream, after which no
 /// further replica is asked.
@@ -379,13 +378,14 @@
                                     runtime::time_point now)
 {
     // A replica that was busy a moment ago may have a free slot later, while
-    // the first attempt still waits.
+    // the first attempt still waits. The growing pauses spread the few hedges
+    // over most of the time that an urgent query has.
     const bool is_waiting = !each.is_settled && each.live_attempts > 0;
     if (!is_waiting || each.hedges >= max_hedges) {
         return;
     }
     std::erase(each.tried, refused_by);
-    each.hedge_at = now + hedge_retry_delay;
+    each.hedge_at = now + backoff_after(each.hedges - 1);
 }
 
 void query_coordinator::on_not_run(std::size_t position, const sub_reply& reply,
--- a/packages/policy/src/upstream_owner.cpp
+++ b/packages/policy/src/upstream_owner.cpp
@@ -96,16 +96,12 @@
         refuse(request, refusal::draining, {});
         return;
     }
-    // A hedge only uses capacity that is idle, so that it never delays a
-    // first attempt.
-    const bool is_busy = !queue_.empty() || running_.size() >= limit_.allowed();
-    if (request.is_hedge && is_busy) {
-        refuse(request, refusal::busy, {});
-        return;
-    }
+    // A hedge only uses capacity that is idle or held free for its class, so
+    // that it never delays a first attempt of that class. Less urgent requests
+    // that wait, as in a flood of them, do not count.
     const bool would_wait = running_.size() >= limit_.allowed() ||
                             queue_.length_ahead(request.rank) > 0;
-    if (request.may_redirect && would_wait) {
+    if ((request.is_hedge || request.may_redirect) && would_wait) {
         refuse(request, refusal::busy, {});
         return;
     }
--- a/packages/policy/tests/policy_test.cpp
+++ b/packages/policy/tests/policy_test.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <bitset>
 #include <rapidcheck.h>
+#include <tamarackhoist/policy/admission_control.hpp>
 #include <tamarackhoist/policy/attempt_budget.hpp>
 #include <tamarackhoist/policy/key_range_set.hpp>
 #include <tamarackhoist/policy/order_ledger.hpp>
@@ -152,6 +153,48 @@
     cr_assert(each.replies.front().reason == policy::refusal::busy);
 }
 
+/// Pattern: billing floods in while a replica is slow. The slot that is held
+/// free for urgent work takes the hedges of urgent queries, whatever waits.
+void an_urgent_hedge_passes_a_flood_of_billing()
+{
+    owner_fixture each;
+    each.submit(1, 0);
+    each.finish(1);
+    for (std::uint64_t serial = 2; serial < 10; ++serial) {
+        each.submit(serial, 2, 4s);
+    }
+    cr_assert_eq(each.dispatched.back(), 2U);
+    each.submit(10, 0, 200ms, true);
+    cr_assert_eq(each.dispatched.back(), 10U);
+    each.submit(11, 0, 200ms, true);
+    cr_assert(each.replies.back().reason == policy::refusal::busy);
+}
+
+/// Pattern: one slow replica. A node that serves few queries of a class does
+/// not take one congested query for an overload.
+void a_stray_congested_query_limits_nothing()
+{
+    policy::admission_control admission;
+    time_point now{1s};
+    const auto serve = [&](int congested) {
+        for (int query = 0; query < 2; ++query) {
+            cr_assert(admission.try_admit(now));
+            if (query < congested) {
+                admission.on_congestion(now);
+            }
+            admission.on_finished(true, now);
+        }
+        now += 100ms;
+    };
+    serve(0);
+    serve(1);
+    serve(0);
+    cr_assert(!admission.limit().has_value());
+    serve(2);
+    cr_assert(admission.try_admit(now));
+    cr_assert(admission.limit().has_value());
+}
+
 void a_drain_refuses_what_waits_and_what_comes()
 {
     owner_fixture each;
@@ -368,6 +411,14 @@
 {
     a_hedge_never_waits();
 }
+Test(upstream_owner, urgent_hedge_in_a_flood)
+{
+    an_urgent_hedge_passes_a_flood_of_billing();
+}
+Test(admission_control, stray_congestion)
+{
+    a_stray_congested_query_limits_nothing();
+}
 Test(upstream_owner, drain)
 {
     a_drain_refuses_what_waits_and_what_comes();
