--- a/packages/programs/src/command.hpp
+++ b/packages/programs/src/command.hpp
@@ -21,6 +21,9 @@
     std::string caller;
     /// Document in force, to compare with.
     std::string current;
+    /// Logs of nodes, to search for `request`.
+    std::vector<std::string> logs;
+    std::string request;
 };
 
 using arguments = std::vector<std::string>;
@@ -29,6 +32,7 @@
 int show_status(const arguments& operands, const command_options& options);
 int show_audit(const arguments& operands, const command_options& options);
 int explain_query(const arguments& operands, const command_options& options);
+int explain_request(const arguments& operands, const command_options& options);
 int run_query(const arguments& operands, const command_options& options);
 int replay_trace(const arguments& operands, const command_options& options);
 
--- a/packages/programs/src/tamarackhoist.cpp
+++ b/packages/programs/src/tamarackhoist.cpp
@@ -10,6 +10,8 @@
               "ports, or for query the callers' port");
 DEFINE_bool(json, false, "Print JSON instead of a table");
 DEFINE_string(caller, "", "Name of the caller, for query");
+DEFINE_string(log, "", "Logs of nodes, separated by commas, for explain");
+DEFINE_string(request, "", "Identity of a request, for explain");
 DEFINE_string(current, "", "Document in force, for check to compare with");
 
 namespace
@@ -19,11 +21,28 @@
 
 using command = int (*)(const arguments&, const command_options&);
 
+int explain(const arguments& operands, const command_options& options)
+{
+    const bool is_from_logs = !options.logs.empty() || !options.request.empty();
+    return is_from_logs ? explain_request(operands, options)
+                        : explain_query(operands, options);
+}
+
+std::vector<std::string> split_list(const std::string& list)
+{
+    std::vector<std::string> words;
+    std::istringstream stream(list);
+    for (std::string word; std::getline(stream, word, ',');) {
+        words.push_back(word);
+    }
+    return words;
+}
+
 const std::map<std::string, command>& commands()
 {
     static const std::map<std::string, command> all{
         {"check", check_document}, {"status", show_status},
-        {"audit", show_audit},     {"explain", explain_query},
+        {"audit", show_audit},     {"explain", explain},
         {"query", run_query},      {"replay", replay_trace},
     };
     return all;
@@ -39,6 +58,8 @@
     "      merges the trails of changes of all nodes\n"
     "  tamarackhoist explain INDEX --nodes NODE [--json]\n"
     "      shows where each shard of a query would go\n"
+    "  tamarackhoist explain --log FILES --request ID\n"
+    "      tells from logs what became of a request of the platform role\n"
     "  tamarackhoist query INDEX --caller NAME --nodes NODE\n"
     "      runs one query\n"
     "  tamarackhoist replay TRACE [--json]\n"
@@ -61,8 +82,9 @@
     options.wants_json = FLAGS_json;
     options.caller = FLAGS_caller;
     options.current = FLAGS_current;
-    std::istringstream list(FLAGS_nodes);
-    for (std::string text; std::getline(list, text, ',');) {
+    options.logs = split_list(FLAGS_log);
+    options.request = FLAGS_request;
+    for (const auto& text : split_list(FLAGS_nodes)) {
         const auto node = tamarackhoist::transport::endpoint::parse(text);
         if (!node) {
             std::cerr << "tamarackhoist: \"" << text
