peers: Accept a node whose clock went back before its restart

Cause: incarnations are made from the time of day. A process that starts after its VM's clock was stepped back has a smaller one than the process before it, so its peers kept believing the old state (dead or leaving), and the node could not contradict a belief of another incarnation: nothing was relayed to it and nobody counted it. Found by reading for uses of the time of day. Ruled out: a clock that does not go back (the boot clock starts anew with a VM). Change: a node that hears of a greater incarnation of itself takes the next one.

--- a/packages/peers/include/tamarackhoist/peers/membership.hpp
+++ b/packages/peers/include/tamarackhoist/peers/membership.hpp
@@ -128,7 +128,7 @@
     };
 
     void apply(const member& update, runtime::time_point now);
-    void apply_about_self(const member& update, runtime::time_point now);
+    void apply_about_self(const member& update);
     void set_state(record& each, member_state state, runtime::time_point now);
     void send(const transport::endpoint& target, gossip_kind kind,
               std::uint64_t sequence, std::optional<member> subject = {});
--- a/packages/peers/src/membership.cpp
+++ b/packages/peers/src/membership.cpp
@@ -371,7 +371,7 @@
 void membership::apply(const member& update, runtime::time_point now)
 {
     if (update.name == self_.name) {
-        apply_about_self(update, now);
+        apply_about_self(update);
         return;
     }
     const auto found = others_.find(update.name);
@@ -403,8 +403,16 @@
     }
 }
 
-void membership::apply_about_self(const member& update, runtime::time_point now)
+void membership::apply_about_self(const member& update)
 {
+    if (update.incarnation > self_.incarnation) {
+        // An earlier process of this node is known by it: the time of day,
+        // from which incarnations are made, went back since.
+        self_.incarnation = update.incarnation + 1;
+        self_.refutation = 0;
+        tell_some_peers();
+        return;
+    }
     const bool is_wrong = update.incarnation == self_.incarnation &&
                           update.refutation >= self_.refutation &&
                           (update.state == member_state::suspect ||
@@ -415,7 +423,6 @@
     // A greater refutation count overrides every belief that is out.
     self_.refutation = update.refutation + 1;
     tell_some_peers();
-    (void)now;
 }
 
 void membership::set_state(record& each, member_state state,
--- a/packages/peers/tests/membership_test.cpp
+++ b/packages/peers/tests/membership_test.cpp
@@ -59,7 +59,7 @@
         nodes[number]->add_seed({"127.0.0.1", 1000});
         nodes[number]->add_seed({"127.0.0.1", 1001});
         is_paused[number] = false;
-        tick(number, incarnation);
+        tick(number, ++starts_[number]);
     }
 
     void run(runtime::duration time)
@@ -84,18 +84,17 @@
     std::size_t bytes = 0;
 
 private:
-    void tick(std::size_t number, std::uint64_t incarnation)
+    void tick(std::size_t number, std::uint32_t start)
     {
-        scheduler.after(50ms, [this, number, incarnation] {
+        scheduler.after(50ms, [this, number, start] {
             const auto found = nodes.find(number);
-            if (found == nodes.end() ||
-                found->second->self().incarnation != incarnation) {
+            if (found == nodes.end() || starts_[number] != start) {
                 return;
             }
             if (!is_paused[number]) {
                 found->second->tick(scheduler.now());
             }
-            tick(number, incarnation);
+            tick(number, start);
         });
     }
 
@@ -140,6 +139,8 @@
 
     const double loss_;
     std::mt19937_64 random_{1};
+    /// Starts of each node so far; ends the ticks of its earlier processes.
+    std::map<std::size_t, std::uint32_t> starts_;
 };
 
 void a_dead_member_is_found_within_three_seconds()
@@ -207,6 +208,25 @@
     cr_assert_eq(seen->incarnation, 2U);
 }
 
+/// Pattern: the time of day goes back on a VM, and its process is killed and
+/// starts again: it begins with a smaller incarnation than the one before it.
+void a_member_whose_clock_went_back_is_accepted()
+{
+    for (const auto absence : {200ms, 10'000ms}) {
+        member_fleet fleet(6, 0.01);
+        fleet.nodes.erase(3);
+        fleet.add(3, 9);
+        fleet.run(5s);
+        fleet.nodes.erase(3);
+        fleet.run(absence);
+        fleet.add(3, 2);
+        fleet.run(5s);
+        cr_assert(fleet.agrees_on(6));
+        const auto seen = fleet.nodes[0]->find(policy::node_id::of("node3"));
+        cr_assert_eq(seen->incarnation, fleet.nodes[3]->self().incarnation);
+    }
+}
+
 void a_leaving_member_owns_nothing_at_once()
 {
     member_fleet fleet(6, 0);
@@ -293,6 +313,10 @@
 {
     a_replaced_member_is_one_member();
 }
+Test(membership, clock_back)
+{
+    a_member_whose_clock_went_back_is_accepted();
+}
 Test(membership, leave)
 {
     a_leaving_member_owns_nothing_at_once();
