policy: Refuse at once what a cut-off node cannot cover, and step back

Change: domain_reach tells from gossip, relays and upstreams which domains are within reach. What cannot be covered is refused at once, one request a second is tried, lost domains are pinged, and a node in the minority that cannot cover a route is not ready. E420, E421, two gauges.

--- a/packages/callers/include/tamarackhoist/callers/forward_exchange.hpp
+++ b/packages/callers/include/tamarackhoist/callers/forward_exchange.hpp
@@ -23,6 +23,9 @@
     std::string reason;
     std::vector<answer_field> fields;
     std::string body;
+    /// Ends the connection after the answer, so that the caller's next one
+    /// may go to another node.
+    bool ends_connection = false;
 };
 
 /// A request that was read whole from a caller and waits for its answer.
--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -205,7 +205,7 @@
     closes_after_answer_ = true;
     unparsed_.clear();
     request_ = {};
-    respond({status, std::move(reason), {}, {}});
+    respond({status, std::move(reason), {}, {}, true});
 }
 
 std::string caller_connection::serialize(const forward_answer& answer,
@@ -233,7 +233,8 @@
 {
     abandoned_ = nullptr;
     state_ = state::writing;
-    closes_after_answer_ = closes_after_answer_ || server_->is_draining();
+    closes_after_answer_ = closes_after_answer_ || answer.ends_connection ||
+                           server_->is_draining();
     output_ = serialize(answer, !closes_after_answer_);
     written_ = 0;
     write();
--- a/packages/node/include/tamarackhoist/node/forwarding.hpp
+++ b/packages/node/include/tamarackhoist/node/forwarding.hpp
@@ -27,6 +27,7 @@
     runtime::duration caller_delay;
     policy::forward_context& context;
     const policy::upstream_directory& directory;
+    policy::domain_reach& reach;
     operators::metrics& metrics;
     /// Returns the connections to an upstream, or nullptr if it is gone.
     std::function<std::shared_ptr<upstreams::forward_pool>(
--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <tamarackhoist/callers/forward_server.hpp>
 #include <tamarackhoist/node/forwarding.hpp>
@@ -67,6 +68,10 @@
     void answer_operator(const transport::http_request& request,
                          const transport::http_server::respond& respond);
     [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] bool is_cut_off() const;
+    void refuse(callers::forward_exchange& exchange, std::string_view reason);
+    void watch_domains();
+    void note_lost_domains(std::set<std::string> lost);
     [[nodiscard]] bool has_recent_news() const;
 
     [[nodiscard]] policy::upstream_directory::observer watch_directory();
@@ -94,6 +99,7 @@
     operators::metrics metrics_;
     policy::upstream_directory directory_;
     policy::forward_context context_;
+    policy::domain_reach reach_;
     std::shared_ptr<forwarding> forwarding_;
     std::shared_ptr<const policy::routing_table> routes_;
     upstream_pools pools_;
@@ -108,6 +114,8 @@
     std::shared_ptr<transport::http_server> metrics_server_;
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer shutdown_timer_;
+    boost::asio::steady_timer domain_timer_;
+    std::set<std::string> lost_domains_;
     std::optional<runtime::time_point> shutdown_at_;
     bool is_listed_ = false;
     bool was_ready_ = false;
--- a/packages/node/include/tamarackhoist/node/peer_group.hpp
+++ b/packages/node/include/tamarackhoist/node/peer_group.hpp
@@ -27,6 +27,8 @@
         /// A peer calls; the reply may be sent later.
         std::function<void(const std::shared_ptr<peers::incoming_call>&)>
             on_call;
+        /// A peer of this failure domain sent something.
+        std::function<void(std::string_view failure_domain)> on_heard;
     };
 
     /// Listens on the address of `self`; an error names it.
@@ -40,6 +42,12 @@
     /// Tells the others that this node takes no new work.
     void leave();
 
+    /// Asks members of a failure domain for a sign of life.
+    void ping_domain(std::string_view failure_domain)
+    {
+        membership_.ping_domain(failure_domain);
+    }
+
     /// Returns the live members without this one.
     [[nodiscard]] std::vector<peers::member> live_peers() const;
 
--- a/packages/node/include/tamarackhoist/node/relay_client.hpp
+++ b/packages/node/include/tamarackhoist/node/relay_client.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <tamarackhoist/node/peer_group.hpp>
 #include <tamarackhoist/peers/relay_codec.hpp>
+#include <tamarackhoist/policy/domain_reach.hpp>
 #include <tamarackhoist/policy/relay_directory.hpp>
 
 namespace tamarackhoist::node
@@ -29,8 +30,10 @@
         std::function<void(bool is_clean)> on_end;
     };
 
+    /// `reach` must outlive this.
     relay_client(std::string failure_domain, std::uint32_t capacity,
-                 std::uint64_t incarnation, runtime::clock clock);
+                 std::uint64_t incarnation, runtime::clock clock,
+                 policy::domain_reach& reach);
 
     /// `peers` must outlive this.
     void start(peer_group& peers) { peers_ = &peers; }
@@ -52,13 +55,21 @@
                         runtime::duration waited);
 
 private:
+    /// A peer that was ever live.
+    struct known_peer {
+        std::string name;
+        std::string failure_domain;
+    };
+
+    void record_failure(policy::node_id peer);
+
     peer_group* peers_ = nullptr;
     policy::relay_directory directory_;
+    policy::domain_reach& reach_;
     const std::uint64_t incarnation_;
     const runtime::clock clock_;
     std::uint64_t next_call_ = 1;
-    /// Names of the peers that were ever live, for the log.
-    std::map<policy::node_id, std::string> names_;
+    std::map<policy::node_id, known_peer> known_;
 };
 
 } // namespace tamarackhoist::node
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -233,11 +233,24 @@
                 id, self->times_.deadline - self->shared_->clock.now(),
                 self->shared_->fields);
         },
-        [self, key](upstreams::forward_result result) {
+        [self, key,
+         domain = outgoing.failure_domain](upstreams::forward_result result) {
+            self->note_reach(domain, result.status);
             self->ended(key, std::move(result));
         });
 }
 
+void forwarded_request::note_reach(const std::string& failure_domain,
+                                   upstreams::forward_status status)
+{
+    const auto now = shared_->clock.now();
+    if (status == upstreams::forward_status::answered) {
+        shared_->reach.record_heard(failure_domain, now);
+    } else {
+        shared_->reach.record_missed(failure_domain, now);
+    }
+}
+
 void forwarded_request::send_through(policy::node_id relay,
                                      std::span<const outgoing_attempt> attempts)
 {
--- a/packages/node/src/forwarded_request.hpp
+++ b/packages/node/src/forwarded_request.hpp
@@ -58,6 +58,8 @@
     void send_directly(const outgoing_attempt& outgoing);
     void send_through(policy::node_id relay,
                       std::span<const outgoing_attempt> attempts);
+    void note_reach(const std::string& failure_domain,
+                    upstreams::forward_status status);
     void relay_replied(std::size_t call, const peers::relay_reply& reply);
     void relay_lost(std::size_t call);
     void arm_silence_timer(runtime::duration delay);
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -24,6 +24,8 @@
 /// The process ends this long before it would be killed.
 constexpr duration shutdown_margin = 300ms;
 constexpr duration shutdown_check = 50ms;
+/// Interval at which failure domains that are out of reach are pinged.
+constexpr duration domain_interval = 250ms;
 
 callers::forward_answer make_not_found()
 {
@@ -63,16 +65,18 @@
                 .allowance = 0.0,
                 .window = settings_.extra_attempt_window},
                policy::hash_text(settings_.name), clock_.now()),
+      reach_(settings_.failure_domain),
       pools_(io_context_, clock_, settings_.failure_domain,
              settings_.spare_nodes, adapt.fields.request_id),
       decode_(std::move(adapt.decode)),
       relays_(settings_.failure_domain, thousandths(settings_.cores),
-              incarnation, clock_),
-      expiry_timer_(io_context_), shutdown_timer_(io_context_)
+              incarnation, clock_, reach_),
+      expiry_timer_(io_context_), shutdown_timer_(io_context_),
+      domain_timer_(io_context_)
 {
     forwarding_ = std::make_shared<forwarding>(forwarding{
         io_context_, clock_, std::move(adapt.fields), settings_.caller_delay,
-        context_, directory_, metrics_,
+        context_, directory_, reach_, metrics_,
         [this](const std::string& upstream) { return pools_.find(upstream); },
         &relays_});
     relay_server_.emplace(forwarding_);
@@ -121,6 +125,7 @@
     metrics_server_->start();
     peers_->start();
     news_->start(*peers_);
+    watch_domains();
     io_context_.run();
     log_event(event_number::node_stopped, settings_.name);
 }
@@ -171,7 +176,56 @@
 
 bool gateway::is_ready() const
 {
-    return routes_ != nullptr && is_listed_ && !shutdown_at_;
+    return routes_ != nullptr && is_listed_ && !shutdown_at_ && !is_cut_off();
+}
+
+bool gateway::is_cut_off() const
+{
+    const auto now = clock_.now();
+    if (!reach_.is_in_minority(now)) {
+        return false;
+    }
+    const auto& routes = routes_->routes();
+    return std::any_of(routes.begin(), routes.end(),
+                       [&](const policy::route& each) {
+                           return !reach_.can_cover(each, directory_, now);
+                       });
+}
+
+void gateway::watch_domains()
+{
+    const auto lost = reach_.unreached(clock_.now());
+    for (const auto& domain : lost) {
+        peers_->ping_domain(domain);
+    }
+    note_lost_domains({lost.begin(), lost.end()});
+    domain_timer_.expires_after(domain_interval);
+    domain_timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            watch_domains();
+        }
+    });
+}
+
+void gateway::note_lost_domains(std::set<std::string> lost)
+{
+    const auto note = [&](event_number event, const std::string& domain) {
+        runtime::log_line(event)
+            .add("failure_domain", domain)
+            .add("lost_domains", lost.size())
+            .add("is_cut_off", routes_ && is_cut_off() ? "yes" : "no");
+    };
+    for (const auto& domain : lost) {
+        if (!lost_domains_.contains(domain)) {
+            note(event_number::domain_lost, domain);
+        }
+    }
+    for (const auto& domain : lost_domains_) {
+        if (!lost.contains(domain)) {
+            note(event_number::domain_regained, domain);
+        }
+    }
+    lost_domains_ = std::move(lost);
 }
 
 bool gateway::has_recent_news() const
@@ -184,14 +238,19 @@
 {
     const auto& request = exchange->request();
     if (routes_ == nullptr) {
-        log_refusal(request, "no configuration is known yet");
-        exchange->respond(make_not_executed());
+        refuse(*exchange, "no configuration is known yet");
         return;
     }
     const auto host = request[http::field::host];
     const auto target = request.target();
     const auto* route = routes_->find({host.data(), host.size()},
                                       path_of({target.data(), target.size()}));
+    const auto now = clock_.now();
+    if (route != nullptr && !reach_.can_cover(*route, directory_, now) &&
+        !reach_.take_trial(now)) {
+        refuse(*exchange, "too few shards are within reach");
+        return;
+    }
     if (route != nullptr) {
         forward(forwarding_, routes_, *route, std::move(exchange));
         return;
@@ -204,6 +263,15 @@
     exchange->respond(is_certain ? make_not_found() : make_not_executed());
 }
 
+void gateway::refuse(callers::forward_exchange& exchange,
+                     std::string_view reason)
+{
+    log_refusal(exchange.request(), reason);
+    auto answer = make_not_executed();
+    answer.ends_connection = true;
+    exchange.respond(std::move(answer));
+}
+
 void gateway::log_refusal(const transport::http_request& request,
                           std::string_view reason) const
 {
@@ -246,6 +314,9 @@
                  static_cast<double>(directory_.size()));
     metrics_.set({"tamarackhoist_configuration_version", ""},
                  routes_ ? static_cast<double>(routes_->version()) : 0.0);
+    metrics_.set({"tamarackhoist_ready", ""}, is_ready() ? 1.0 : 0.0);
+    metrics_.set({"tamarackhoist_lost_failure_domains", ""},
+                 static_cast<double>(lost_domains_.size()));
     metrics_.set({"tamarackhoist_requests_in_flight", ""},
                  static_cast<double>(callers_->requests_in_flight()));
     metrics_.set({"tamarackhoist_store_calls", ""},
@@ -278,6 +349,10 @@
             .on_call =
                 [this](const std::shared_ptr<peers::incoming_call>& call) {
                     take_call(call);
+                },
+            .on_heard =
+                [this](std::string_view failure_domain) {
+                    reach_.record_heard(failure_domain, clock_.now());
                 }};
 }
 
--- a/packages/node/src/peer_group.cpp
+++ b/packages/node/src/peer_group.cpp
@@ -48,6 +48,7 @@
              },
              [group](const peers::gossip_message& message) {
                  group->membership_.on_message(message, group->clock_.now());
+                 group->hooks_.on_heard(message.sender.failure_domain);
              }}));
     for (const auto& seed : seeds) {
         if (seed != self.where) {
--- a/packages/node/src/relay_client.cpp
+++ b/packages/node/src/relay_client.cpp
@@ -8,9 +8,10 @@
 using runtime::event_number;
 
 relay_client::relay_client(std::string failure_domain, std::uint32_t capacity,
-                           std::uint64_t incarnation, runtime::clock clock)
+                           std::uint64_t incarnation, runtime::clock clock,
+                           policy::domain_reach& reach)
     : directory_(std::move(failure_domain), capacity, incarnation),
-      incarnation_(incarnation), clock_(std::move(clock))
+      reach_(reach), incarnation_(incarnation), clock_(std::move(clock))
 {
 }
 
@@ -22,7 +23,7 @@
     std::vector<policy::relay_node> nodes;
     for (const auto& each : peers_->live_peers()) {
         nodes.push_back({each.id(), each.failure_domain, each.capacity});
-        names_[each.id()] = each.name;
+        known_[each.id()] = {each.name, each.failure_domain};
     }
     directory_.set_nodes(nodes);
 }
@@ -45,6 +46,7 @@
         peer, peers::call_path::relay, peers::encode_relay_request(request),
         [this, peer, on_reply = handle.on_reply](std::string_view message) {
             directory_.record_answer(peer, clock_.now());
+            reach_.record_heard(known_[peer].failure_domain, clock_.now());
             auto reply = peers::decode_relay_reply(message);
             if (!reply) {
                 runtime::log_event(event_number::peer_message_rejected,
@@ -58,7 +60,7 @@
             directory_.call_ended(peer, shards);
             const bool is_clean = end == peers::call_end::clean;
             if (!is_clean) {
-                directory_.record_failure(peer, clock_.now());
+                record_failure(peer);
             }
             on_end(is_clean);
         });
@@ -73,13 +75,19 @@
         [](std::string_view) {}, [](peers::call_end) {});
 }
 
+void relay_client::record_failure(policy::node_id peer)
+{
+    directory_.record_failure(peer, clock_.now());
+    reach_.record_missed(known_[peer].failure_domain, clock_.now());
+}
+
 void relay_client::report_silence(relay_call_id id, std::string_view request_id,
                                   runtime::duration waited)
 {
-    directory_.record_failure(id.peer, clock_.now());
+    record_failure(id.peer);
     runtime::log_line(event_number::relay_failed)
         .add("request", request_id)
-        .add("peer", names_[id.peer])
+        .add("peer", known_[id.peer].name)
         .add("waited_ms", waited);
 }
 
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -223,6 +223,7 @@
         [&] { return fixture.ask(only, "/q/x").has_value(); }));
     const auto response = fixture.ask(only, "/q/x");
     cr_assert_eq(response->result_int(), 503U);
+    cr_assert(!response->keep_alive(), "another node may know more");
     cr_assert(!fixture.is_ready(only));
 }
 
--- a/packages/peers/include/tamarackhoist/peers/membership.hpp
+++ b/packages/peers/include/tamarackhoist/peers/membership.hpp
@@ -89,6 +89,10 @@
     /// Spreads a drain that this node observed.
     void announce_drain(const drain_update& update);
 
+    /// Pings some members of `failure_domain`, also those believed dead, to
+    /// learn at once when the domain is within reach again.
+    void ping_domain(std::string_view failure_domain);
+
     /// Returns every known member, this node included.
     [[nodiscard]] std::vector<member> members() const;
 
--- a/packages/peers/src/membership.cpp
+++ b/packages/peers/src/membership.cpp
@@ -206,6 +206,21 @@
     }
 }
 
+void membership::ping_domain(std::string_view failure_domain)
+{
+    std::vector<member> targets;
+    for (const auto& [name, each] : others_) {
+        if (each.description.failure_domain == failure_domain) {
+            targets.push_back(each.description);
+        }
+    }
+    std::ranges::shuffle(targets, random_);
+    targets.resize(std::min(targets.size(), settings_.indirect_probes));
+    for (const auto& each : targets) {
+        send(each.where, gossip_kind::ping, next_sequence_++);
+    }
+}
+
 void membership::contact_seeds(runtime::time_point now)
 {
     if (seeds_.empty() || now - seeded_at_ < seed_interval) {
--- a/packages/policy/include/tamarackhoist/policy/routing_table.hpp
+++ b/packages/policy/include/tamarackhoist/policy/routing_table.hpp
@@ -47,6 +47,9 @@
     double min_coverage = 1.0;
 
     [[nodiscard]] bool is_fan_out() const { return !shards.empty(); }
+
+    /// Returns whether a fan-out succeeds with the answers of `count` shards.
+    [[nodiscard]] bool is_covered_by(std::size_t count) const;
 };
 
 /// What a caller may send, and how long it may take.
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -22,8 +22,6 @@
 /// Part of the latency target after which a request to one upstream is
 /// hedged.
 constexpr int single_hedge_part = 2;
-/// Bound of rounding when coverage is compared with its minimum.
-constexpr double coverage_epsilon = 1e-9;
 
 } // namespace
 
@@ -316,13 +314,7 @@
 
 bool forward_coordinator::is_enough() const
 {
-    if (answered_ == 0) {
-        return false;
-    }
-    const auto coverage =
-        static_cast<double>(answered_) / static_cast<double>(shards_.size());
-    return route_.is_fan_out() &&
-           coverage + coverage_epsilon >= route_.min_coverage;
+    return route_.is_fan_out() && route_.is_covered_by(answered_);
 }
 
 bool forward_coordinator::has_hope() const
@@ -375,10 +367,7 @@
         for (const auto& shard : shards_) {
             possible += shard.winner || !shard.is_exhausted ? 1 : 0;
         }
-        if (static_cast<double>(possible) /
-                    static_cast<double>(shards_.size()) +
-                coverage_epsilon <
-            route_.min_coverage) {
+        if (!route_.is_covered_by(possible)) {
             finish(failure_outcome(), now);
             return;
         }
--- a/packages/policy/src/routing_table.cpp
+++ b/packages/policy/src/routing_table.cpp
@@ -5,6 +5,21 @@
 namespace tamarackhoist::policy
 {
 
+namespace
+{
+
+/// Bound of rounding when coverage is compared with its minimum.
+constexpr double coverage_epsilon = 1e-9;
+
+} // namespace
+
+bool route::is_covered_by(std::size_t count) const
+{
+    const auto coverage =
+        static_cast<double>(count) / static_cast<double>(shards.size());
+    return count > 0 && coverage + coverage_epsilon >= min_coverage;
+}
+
 routing_table::routing_table(
     std::uint64_t version, std::vector<route> routes,
     std::map<std::string, service_settings, std::less<>> services,
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -33,6 +33,8 @@
     member_joined = 410,
     member_suspected = 411,
     member_left = 412,
+    domain_lost = 420,
+    domain_regained = 421,
     section_accepted = 500,
     section_refused = 501,
     routes_in_force = 502,
--- a/packages/runtime/src/event.cpp
+++ b/packages/runtime/src/event.cpp
@@ -38,6 +38,8 @@
     event_description{member_joined, information, "member joined"},
     event_description{member_suspected, warning, "member suspected"},
     event_description{member_left, information, "member left"},
+    event_description{domain_lost, warning, "failure domain lost"},
+    event_description{domain_regained, information, "failure domain regained"},
     event_description{section_accepted, information, "section accepted"},
     event_description{section_refused, error, "section refused"},
     event_description{routes_in_force, information, "routes in force"},
