policy: Leave new callers to others while a node is too slow

They stayed ready, and nearly all of their callers' requests were late or failed (388 at their deadline), while the other three nodes used a fifth of theirs. Ruled out: upstreams (not run: 1 in 12, only during the reshard); more hedges (the queue was in the node). Change: load_monitor judges the lateness of a timer: more than 30 ms three times in a row, 250 ms apart. Such a node is not ready for 2 s, doubled up to 8 s while it relapses; what it has read it still answers. E106, E107, a gauge.

--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -17,6 +17,7 @@
 #include <tamarackhoist/node/relay_server.hpp>
 #include <tamarackhoist/node/upstream_pools.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
+#include <tamarackhoist/policy/load_monitor.hpp>
 #include <tamarackhoist/transport/http_server.hpp>
 
 namespace tamarackhoist::node
@@ -70,7 +71,8 @@
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool is_cut_off() const;
     void refuse(callers::forward_exchange& exchange, std::string_view reason);
-    void watch_domains();
+    void watch_self();
+    void note_load(runtime::duration lateness);
     void note_lost_domains(std::set<std::string> lost);
     [[nodiscard]] bool has_recent_news() const;
 
@@ -100,6 +102,7 @@
     policy::upstream_directory directory_;
     policy::forward_context context_;
     policy::domain_reach reach_;
+    policy::load_monitor load_;
     std::shared_ptr<forwarding> forwarding_;
     std::shared_ptr<const policy::routing_table> routes_;
     upstream_pools pools_;
@@ -114,7 +117,8 @@
     std::shared_ptr<transport::http_server> metrics_server_;
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer shutdown_timer_;
-    boost::asio::steady_timer domain_timer_;
+    boost::asio::steady_timer watch_timer_;
+    bool was_overloaded_ = false;
     std::set<std::string> lost_domains_;
     std::optional<runtime::time_point> shutdown_at_;
     bool is_listed_ = false;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -24,8 +24,9 @@
 /// The process ends this long before it would be killed.
 constexpr duration shutdown_margin = 300ms;
 constexpr duration shutdown_check = 50ms;
-/// Interval at which failure domains that are out of reach are pinged.
-constexpr duration domain_interval = 250ms;
+/// Interval at which this node looks at its own load, and pings the failure
+/// domains that are out of reach.
+constexpr duration watch_interval = 250ms;
 
 callers::forward_answer make_not_found()
 {
@@ -72,7 +73,7 @@
       relays_(settings_.failure_domain, thousandths(settings_.cores),
               incarnation, clock_, reach_),
       expiry_timer_(io_context_), shutdown_timer_(io_context_),
-      domain_timer_(io_context_)
+      watch_timer_(io_context_)
 {
     forwarding_ = std::make_shared<forwarding>(forwarding{
         io_context_, clock_, std::move(adapt.fields), settings_.caller_delay,
@@ -125,7 +126,7 @@
     metrics_server_->start();
     peers_->start();
     news_->start(*peers_);
-    watch_domains();
+    watch_self();
     io_context_.run();
     log_event(event_number::node_stopped, settings_.name);
 }
@@ -176,7 +177,8 @@
 
 bool gateway::is_ready() const
 {
-    return routes_ != nullptr && is_listed_ && !shutdown_at_ && !is_cut_off();
+    return routes_ != nullptr && is_listed_ && !shutdown_at_ && !is_cut_off() &&
+           !load_.is_overloaded(clock_.now());
 }
 
 bool gateway::is_cut_off() const
@@ -192,21 +194,37 @@
                        });
 }
 
-void gateway::watch_domains()
+void gateway::watch_self()
 {
     const auto lost = reach_.unreached(clock_.now());
     for (const auto& domain : lost) {
         peers_->ping_domain(domain);
     }
     note_lost_domains({lost.begin(), lost.end()});
-    domain_timer_.expires_after(domain_interval);
-    domain_timer_.async_wait([this](boost::system::error_code error) {
+    const auto due = clock_.now() + watch_interval;
+    watch_timer_.expires_after(watch_interval);
+    watch_timer_.async_wait([this, due](boost::system::error_code error) {
         if (!error) {
-            watch_domains();
+            note_load(clock_.now() - due);
+            watch_self();
         }
     });
 }
 
+void gateway::note_load(duration lateness)
+{
+    load_.record_lateness(lateness, clock_.now());
+    const bool is_overloaded = load_.is_overloaded(clock_.now());
+    if (is_overloaded == was_overloaded_) {
+        return;
+    }
+    was_overloaded_ = is_overloaded;
+    runtime::log_line(is_overloaded ? event_number::node_overloaded
+                                    : event_number::node_caught_up)
+        .add("lateness_ms", lateness)
+        .add("in_flight", callers_->requests_in_flight());
+}
+
 void gateway::note_lost_domains(std::set<std::string> lost)
 {
     const auto note = [&](event_number event, const std::string& domain) {
@@ -315,6 +333,8 @@
     metrics_.set({"tamarackhoist_configuration_version", ""},
                  routes_ ? static_cast<double>(routes_->version()) : 0.0);
     metrics_.set({"tamarackhoist_ready", ""}, is_ready() ? 1.0 : 0.0);
+    metrics_.set({"tamarackhoist_timer_lateness_seconds", ""},
+                 runtime::to_seconds(load_.lateness()));
     metrics_.set({"tamarackhoist_lost_failure_domains", ""},
                  static_cast<double>(lost_domains_.size()));
     metrics_.set({"tamarackhoist_requests_in_flight", ""},
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -17,6 +17,8 @@
     node_stopped = 103,
     resumed_after_pause = 104,
     settings_changed = 105,
+    node_overloaded = 106,
+    node_caught_up = 107,
     caller_request_rejected = 201,
     request_not_complete = 202,
     request_attempted_again = 203,
--- a/packages/runtime/src/event.cpp
+++ b/packages/runtime/src/event.cpp
@@ -19,6 +19,8 @@
     event_description{node_stopped, information, "node stopped"},
     event_description{resumed_after_pause, warning, "resumed after pause"},
     event_description{settings_changed, information, "settings changed"},
+    event_description{node_overloaded, warning, "node overloaded"},
+    event_description{node_caught_up, information, "node caught up"},
     event_description{caller_request_rejected, warning,
                       "caller request rejected"},
     event_description{request_not_complete, warning, "request not complete"},
