node: Give the watch over the node itself a class of its own

Change: self_watch holds reach, load, their timer and their log lines; the members of the own domain and the rank are kept when members change.

--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <tamarackhoist/callers/forward_server.hpp>
 #include <tamarackhoist/node/forwarding.hpp>
@@ -15,9 +14,9 @@
 #include <tamarackhoist/node/peer_group.hpp>
 #include <tamarackhoist/node/relay_client.hpp>
 #include <tamarackhoist/node/relay_server.hpp>
+#include <tamarackhoist/node/self_watch.hpp>
 #include <tamarackhoist/node/upstream_pools.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
-#include <tamarackhoist/policy/load_monitor.hpp>
 #include <tamarackhoist/transport/http_server.hpp>
 
 namespace tamarackhoist::node
@@ -71,9 +70,6 @@
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool is_cut_off() const;
     void refuse(callers::forward_exchange& exchange, std::string_view reason);
-    void watch_self();
-    void note_load(runtime::duration lateness);
-    void note_lost_domains(std::set<std::string> lost);
     [[nodiscard]] bool has_recent_news() const;
 
     [[nodiscard]] policy::upstream_directory::observer watch_directory();
@@ -101,8 +97,7 @@
     operators::metrics metrics_;
     policy::upstream_directory directory_;
     policy::forward_context context_;
-    policy::domain_reach reach_;
-    policy::load_monitor load_;
+    self_watch watch_;
     std::shared_ptr<forwarding> forwarding_;
     std::shared_ptr<const policy::routing_table> routes_;
     upstream_pools pools_;
@@ -117,9 +112,6 @@
     std::shared_ptr<transport::http_server> metrics_server_;
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer shutdown_timer_;
-    boost::asio::steady_timer watch_timer_;
-    bool was_overloaded_ = false;
-    std::set<std::string> lost_domains_;
     std::optional<runtime::time_point> shutdown_at_;
     bool is_listed_ = false;
     bool was_ready_ = false;
--- a/packages/node/include/tamarackhoist/node/news_service.hpp
+++ b/packages/node/include/tamarackhoist/node/news_service.hpp
@@ -58,8 +58,6 @@
 
 private:
     [[nodiscard]] platform::news_follower::observer watch_follower();
-    [[nodiscard]] std::vector<peers::member> domain_peers() const;
-    [[nodiscard]] std::size_t rank() const;
     void tick();
     void choose_role();
     void keep(const std::vector<policy::store_item>& items,
@@ -80,6 +78,10 @@
     policy::news_role role_;
     boost::asio::steady_timer timer_;
     peer_group* peers_ = nullptr;
+    /// Live members of the own failure domain without this one.
+    std::vector<peers::member> domain_peers_;
+    /// Place of this node in the order in which they follow the service.
+    std::size_t rank_ = 0;
     std::map<std::string, policy::store_item> items_;
     std::uint64_t revision_ = 0;
     std::optional<runtime::time_point> shared_heard_at_;
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -243,11 +243,10 @@
 void forwarded_request::note_reach(const std::string& failure_domain,
                                    upstreams::forward_status status)
 {
-    const auto now = shared_->clock.now();
     if (status == upstreams::forward_status::answered) {
-        shared_->reach.record_heard(failure_domain, now);
+        shared_->reach.record_heard(failure_domain);
     } else {
-        shared_->reach.record_missed(failure_domain, now);
+        shared_->reach.record_missed(failure_domain, shared_->clock.now());
     }
 }
 
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -24,9 +24,6 @@
 /// The process ends this long before it would be killed.
 constexpr duration shutdown_margin = 300ms;
 constexpr duration shutdown_check = 50ms;
-/// Interval at which this node looks at its own load, and pings the failure
-/// domains that are out of reach.
-constexpr duration watch_interval = 250ms;
 
 callers::forward_answer make_not_found()
 {
@@ -66,18 +63,17 @@
                 .allowance = 0.0,
                 .window = settings_.extra_attempt_window},
                policy::hash_text(settings_.name), clock_.now()),
-      reach_(settings_.failure_domain),
+      watch_(io_context_, clock_, settings_.failure_domain),
       pools_(io_context_, clock_, settings_.failure_domain,
              settings_.spare_nodes, adapt.fields.request_id),
       decode_(std::move(adapt.decode)),
       relays_(settings_.failure_domain, thousandths(settings_.cores),
-              incarnation, clock_, reach_),
-      expiry_timer_(io_context_), shutdown_timer_(io_context_),
-      watch_timer_(io_context_)
+              incarnation, clock_, watch_.reach()),
+      expiry_timer_(io_context_), shutdown_timer_(io_context_)
 {
     forwarding_ = std::make_shared<forwarding>(forwarding{
         io_context_, clock_, std::move(adapt.fields), settings_.caller_delay,
-        context_, directory_, reach_, metrics_,
+        context_, directory_, watch_.reach(), metrics_,
         [this](const std::string& upstream) { return pools_.find(upstream); },
         &relays_});
     relay_server_.emplace(forwarding_);
@@ -126,7 +122,7 @@
     metrics_server_->start();
     peers_->start();
     news_->start(*peers_);
-    watch_self();
+    watch_.start(*peers_, [this] { return is_cut_off(); });
     io_context_.run();
     log_event(event_number::node_stopped, settings_.name);
 }
@@ -178,72 +174,12 @@
 bool gateway::is_ready() const
 {
     return routes_ != nullptr && is_listed_ && !shutdown_at_ && !is_cut_off() &&
-           !load_.is_overloaded(clock_.now());
+           !watch_.is_overloaded();
 }
 
 bool gateway::is_cut_off() const
 {
-    const auto now = clock_.now();
-    if (!reach_.is_in_minority(now)) {
-        return false;
-    }
-    const auto& routes = routes_->routes();
-    return std::any_of(routes.begin(), routes.end(),
-                       [&](const policy::route& each) {
-                           return !reach_.can_cover(each, directory_, now);
-                       });
-}
-
-void gateway::watch_self()
-{
-    const auto lost = reach_.unreached(clock_.now());
-    for (const auto& domain : lost) {
-        peers_->ping_domain(domain);
-    }
-    note_lost_domains({lost.begin(), lost.end()});
-    const auto due = clock_.now() + watch_interval;
-    watch_timer_.expires_after(watch_interval);
-    watch_timer_.async_wait([this, due](boost::system::error_code error) {
-        if (!error) {
-            note_load(clock_.now() - due);
-            watch_self();
-        }
-    });
-}
-
-void gateway::note_load(duration lateness)
-{
-    load_.record_lateness(lateness, clock_.now());
-    const bool is_overloaded = load_.is_overloaded(clock_.now());
-    if (is_overloaded == was_overloaded_) {
-        return;
-    }
-    was_overloaded_ = is_overloaded;
-    runtime::log_line(is_overloaded ? event_number::node_overloaded
-                                    : event_number::node_caught_up)
-        .add("lateness_ms", lateness)
-        .add("in_flight", callers_->requests_in_flight());
-}
-
-void gateway::note_lost_domains(std::set<std::string> lost)
-{
-    const auto note = [&](event_number event, const std::string& domain) {
-        runtime::log_line(event)
-            .add("failure_domain", domain)
-            .add("lost_domains", lost.size())
-            .add("is_cut_off", routes_ && is_cut_off() ? "yes" : "no");
-    };
-    for (const auto& domain : lost) {
-        if (!lost_domains_.contains(domain)) {
-            note(event_number::domain_lost, domain);
-        }
-    }
-    for (const auto& domain : lost_domains_) {
-        if (!lost.contains(domain)) {
-            note(event_number::domain_regained, domain);
-        }
-    }
-    lost_domains_ = std::move(lost);
+    return routes_ != nullptr && watch_.is_cut_off(*routes_, directory_);
 }
 
 bool gateway::has_recent_news() const
@@ -264,8 +200,9 @@
     const auto* route = routes_->find({host.data(), host.size()},
                                       path_of({target.data(), target.size()}));
     const auto now = clock_.now();
-    if (route != nullptr && !reach_.can_cover(*route, directory_, now) &&
-        !reach_.take_trial(now)) {
+    auto& reach = watch_.reach();
+    if (route != nullptr && !reach.can_cover(*route, directory_, now) &&
+        !reach.take_trial(now)) {
         refuse(*exchange, "too few shards are within reach");
         return;
     }
@@ -334,9 +271,9 @@
                  routes_ ? static_cast<double>(routes_->version()) : 0.0);
     metrics_.set({"tamarackhoist_ready", ""}, is_ready() ? 1.0 : 0.0);
     metrics_.set({"tamarackhoist_timer_lateness_seconds", ""},
-                 runtime::to_seconds(load_.lateness()));
+                 runtime::to_seconds(watch_.lateness()));
     metrics_.set({"tamarackhoist_lost_failure_domains", ""},
-                 static_cast<double>(lost_domains_.size()));
+                 static_cast<double>(watch_.lost_domain_count()));
     metrics_.set({"tamarackhoist_requests_in_flight", ""},
                  static_cast<double>(callers_->requests_in_flight()));
     metrics_.set({"tamarackhoist_store_calls", ""},
@@ -372,7 +309,7 @@
                 },
             .on_heard =
                 [this](std::string_view failure_domain) {
-                    reach_.record_heard(failure_domain, clock_.now());
+                    watch_.reach().record_heard(failure_domain);
                 }};
 }
 
--- a/packages/node/src/news_service.cpp
+++ b/packages/node/src/news_service.cpp
@@ -87,6 +87,7 @@
 void news_service::start(peer_group& peers)
 {
     peers_ = &peers;
+    members_changed();
     tick();
 }
 
@@ -111,29 +112,19 @@
     return std::max(*own, *shared_heard_at_);
 }
 
-std::vector<member> news_service::domain_peers() const
-{
-    auto live = peers_->live_peers();
-    std::erase_if(live, [&](const member& each) {
-        return each.failure_domain != peers_->self().failure_domain;
-    });
-    return live;
-}
-
-std::size_t news_service::rank() const
-{
-    const auto others = domain_peers();
-    return static_cast<std::size_t>(
-        std::count_if(others.begin(), others.end(), [&](const member& each) {
-            return is_before(each, peers_->self());
-        }));
-}
-
 void news_service::members_changed()
 {
-    if (peers_ != nullptr) {
-        pull_if_empty();
+    if (peers_ == nullptr) {
+        return;
     }
+    domain_peers_ = peers_->live_peers();
+    std::erase_if(domain_peers_, [&](const member& each) {
+        return each.failure_domain != peers_->self().failure_domain;
+    });
+    rank_ = static_cast<std::size_t>(std::count_if(
+        domain_peers_.begin(), domain_peers_.end(),
+        [&](const member& each) { return is_before(each, peers_->self()); }));
+    pull_if_empty();
 }
 
 void news_service::tick()
@@ -156,15 +147,14 @@
 
 void news_service::choose_role()
 {
-    const auto own_rank = rank();
     const bool should_follow =
-        role_.follows_service(own_rank, is_complete_, clock_.now());
+        role_.follows_service(rank_, is_complete_, clock_.now());
     if (should_follow == follower_->is_following()) {
         return;
     }
     runtime::log_line(event_number::news_role_changed)
         .add("follows_service", should_follow ? "yes" : "no")
-        .add("rank", own_rank)
+        .add("rank", rank_)
         .add("news_age_ms", age());
     if (should_follow) {
         follower_->resume();
@@ -238,7 +228,7 @@
     news.grace = hooks_.grace_left();
     news.items = items;
     const auto body = peers::encode_news(news);
-    for (const auto& each : domain_peers()) {
+    for (const auto& each : domain_peers_) {
         peers_->call(
             each.id(), peers::call_path::news_push, body,
             [](std::string_view) {}, [](peers::call_end) {});
@@ -252,7 +242,7 @@
     }
     // A peer of another failure domain costs bytes between them, but callers
     // wait for this node.
-    auto candidates = domain_peers();
+    auto candidates = domain_peers_;
     if (candidates.empty()) {
         candidates = peers_->live_peers();
     }
@@ -327,11 +317,9 @@
     }
     shared_heard_at_ =
         std::max(shared_heard_at_.value_or(now - news.age), now - news.age);
-    const auto others = domain_peers();
-    const bool is_of_domain =
-        std::any_of(others.begin(), others.end(), [&](const member& each) {
-            return each.name == news.sender;
-        });
+    const bool is_of_domain = std::any_of(
+        domain_peers_.begin(), domain_peers_.end(),
+        [&](const member& each) { return each.name == news.sender; });
     if (is_of_domain) {
         role_.heard_from_peer(now);
     }
--- a/packages/node/src/relay_client.cpp
+++ b/packages/node/src/relay_client.cpp
@@ -46,7 +46,7 @@
         peer, peers::call_path::relay, peers::encode_relay_request(request),
         [this, peer, on_reply = handle.on_reply](std::string_view message) {
             directory_.record_answer(peer, clock_.now());
-            reach_.record_heard(known_[peer].failure_domain, clock_.now());
+            reach_.record_heard(known_[peer].failure_domain);
             auto reply = peers::decode_relay_reply(message);
             if (!reply) {
                 runtime::log_event(event_number::peer_message_rejected,
--- a/packages/policy/include/tamarackhoist/policy/domain_reach.hpp
+++ b/packages/policy/include/tamarackhoist/policy/domain_reach.hpp
@@ -23,7 +23,7 @@
     explicit domain_reach(std::string own_domain);
 
     /// A node or an upstream of `domain` sent something.
-    void record_heard(std::string_view domain, runtime::time_point now);
+    void record_heard(std::string_view domain);
 
     /// A node of `domain` did not answer in time, or a connection to one of
     /// its nodes or upstreams broke.
--- a/packages/policy/src/admission_control.cpp
+++ b/packages/policy/src/admission_control.cpp
@@ -84,8 +84,8 @@
     answered_rate_ += smoothing * (closed.answered / seconds - answered_rate_);
     best_rate_ = std::max(best_rate_ * best_rate_decay, answered_rate_);
     const bool is_congested =
-        closed.congested > std::max(max_stray_congestion,
-                                    tolerated_congestion * closed.finished);
+        closed.congested >
+        std::max(max_stray_congestion, tolerated_congestion * closed.finished);
     const auto offered_rate = closed.offered / seconds;
     if (is_congested) {
         calm_intervals_ = 0;
--- a/packages/policy/src/domain_reach.cpp
+++ b/packages/policy/src/domain_reach.cpp
@@ -30,7 +30,7 @@
 {
 }
 
-void domain_reach::record_heard(std::string_view domain, time_point now)
+void domain_reach::record_heard(std::string_view domain)
 {
     const auto found = records_.find(domain);
     auto& each =
--- a/packages/policy/tests/domain_reach_test.cpp
+++ b/packages/policy/tests/domain_reach_test.cpp
@@ -45,7 +45,7 @@
     void hear_all()
     {
         for (const auto* domain : {"a", "b", "c", "d"}) {
-            reach.record_heard(domain, now);
+            reach.record_heard(domain);
         }
     }
 
