upstreams: Bound everything that an upstream can send in place of an answer

Cause: the users report servers that send bytes that are no answer, without end. A body was bounded to 4 MB a connection only, so that a fan-out to 129 shards could hold 516 MB on a VM of 160 MB.

Ruled out: heads without end, garbage, and bodies with or without a length were closed at their limits before, and still are.

Change: response_reader reads one response from bytes, without I/O, and bounds the head, the framing, the body and the responses that it skips. Beyond 64 KB a response draws on a budget of the node (an eighth of its memory, memory_mb in the settings), half of it at most for one service. A connection closed for what was sent on it is logged (E304, with the upstream and the fault), counted by fault, and counts as a failure of the upstream as before. Status classes are taken from the number, since Beast knows no name for 103.

--- a/packages/node/include/tamarackhoist/node/upstream_pools.hpp
+++ b/packages/node/include/tamarackhoist/node/upstream_pools.hpp
@@ -6,10 +6,12 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tamarackhoist/operators/metrics.hpp>
 #include <tamarackhoist/policy/registered_upstream.hpp>
 #include <tamarackhoist/policy/routing_table.hpp>
 #include <tamarackhoist/runtime/clock.hpp>
 #include <tamarackhoist/upstreams/forward_pool.hpp>
+#include <tamarackhoist/upstreams/response_budget.hpp>
 
 namespace tamarackhoist::node
 {
@@ -22,9 +24,20 @@
     /// Number of live nodes by failure domain.
     using node_counts = std::map<std::string, std::size_t, std::less<>>;
 
+    struct options {
+        /// Failure domain of this node.
+        std::string failure_domain;
+        /// Nodes that may join the fleet at any time.
+        std::size_t spare_nodes = 0;
+        /// Name of the response header field that repeats the request ID.
+        std::string request_id_field;
+        /// Limit of the memory for unfinished responses, in bytes.
+        std::size_t max_response_memory = 0;
+    };
+
+    /// `metrics` must outlive this object.
     upstream_pools(boost::asio::io_context& context, runtime::clock clock,
-                   std::string failure_domain, std::size_t spare_nodes,
-                   std::string request_id_field);
+                   options options, operators::metrics& metrics);
 
     /// Creates the pool of an upstream and warms it unless it is draining.
     void open(const policy::registered_upstream& upstream);
@@ -42,10 +55,21 @@
     /// its own failure domain through relays.
     void set_live_nodes(node_counts by_domain, bool uses_relays);
 
+    /// Memory that unfinished responses hold beyond the part that each
+    /// response may hold anyway, in bytes.
+    [[nodiscard]] std::size_t response_memory() const
+    {
+        return response_budget_->used();
+    }
+
     /// Returns the number of connections in all pools.
     [[nodiscard]] std::size_t connection_count() const;
 
 private:
+    [[nodiscard]] upstreams::forward_connection::options
+    make_connection_options(const policy::registered_upstream& upstream) const;
+    void record_rejection(const policy::registered_upstream& upstream,
+                          upstreams::response_fault fault) const;
     [[nodiscard]] bool
     is_in_own_domain(const policy::registered_upstream& upstream) const;
     [[nodiscard]] std::size_t
@@ -55,9 +79,9 @@
 
     boost::asio::io_context& context_;
     const runtime::clock clock_;
-    const std::string failure_domain_;
-    const std::size_t spare_nodes_;
-    const std::string request_id_field_;
+    const options options_;
+    operators::metrics& metrics_;
+    const std::shared_ptr<upstreams::response_budget> response_budget_;
     std::shared_ptr<const policy::routing_table> routes_;
     node_counts nodes_by_domain_;
     std::size_t node_count_ = 1;
--- a/packages/node/src/forward_message.cpp
+++ b/packages/node/src/forward_message.cpp
@@ -167,7 +167,7 @@
         // application, which may have executed the request.
         return attempt_result::broken;
     }
-    const auto kind = http::to_status_class(response.result());
+    const auto kind = transport::get_status_class(response);
     if (kind == http::status_class::successful) {
         return attempt_result::answered;
     }
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -24,6 +24,9 @@
 /// The shutdown ends this long before the process would be killed.
 constexpr duration shutdown_margin = 300ms;
 constexpr duration shutdown_check_interval = 50ms;
+/// Divides the memory of the process into the part that unfinished responses
+/// of upstreams may hold.
+constexpr std::size_t response_memory_divisor = 8;
 
 callers::forward_answer make_not_found()
 {
@@ -65,8 +68,13 @@
                 .window = settings_.extra_attempt_window},
                policy::hash_text(settings_.name), clock_.now()),
       health_(io_context_, clock_, settings_.failure_domain),
-      pools_(io_context_, clock_, settings_.failure_domain,
-             settings_.spare_nodes, platform_adapter.fields.request_id),
+      pools_(
+          io_context_, clock_,
+          {.failure_domain = settings_.failure_domain,
+           .spare_nodes = settings_.spare_nodes,
+           .request_id_field = platform_adapter.fields.request_id,
+           .max_response_memory = settings_.memory / response_memory_divisor},
+          metrics_),
       decode_(std::move(platform_adapter.decode)),
       relay_client_(settings_.failure_domain, to_millicores(settings_.cores),
                     incarnation, clock_, health_.reach()),
@@ -275,6 +283,8 @@
 {
     metrics_.set({"tamarackhoist_upstream_connections", ""},
                  static_cast<double>(pools_.connection_count()));
+    metrics_.set({"tamarackhoist_response_memory_bytes", ""},
+                 static_cast<double>(pools_.response_memory()));
     metrics_.set({"tamarackhoist_upstreams", ""},
                  static_cast<double>(directory_.size()));
     metrics_.set({"tamarackhoist_configuration_version", ""},
--- a/packages/node/src/gateway_settings.cpp
+++ b/packages/node/src/gateway_settings.cpp
@@ -13,6 +13,10 @@
 
 constexpr std::uint64_t max_nodes = 10'000;
 constexpr double max_cores = 1024.0;
+constexpr std::uint64_t min_memory_mb = 32;
+constexpr std::uint64_t max_memory_mb = 1024 * 1024;
+constexpr std::uint64_t default_memory_mb = 256;
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 constexpr std::uint64_t max_allowance = 1'000'000;
 
 void read_node(section_reader& reader, gateway_settings& settings)
@@ -21,6 +25,9 @@
     settings.failure_domain = reader.required_text("failure_domain");
     settings.region = reader.optional_text("region");
     settings.cores = reader.optional_real("cores", 0.0, max_cores, 1.0);
+    settings.memory =
+        bytes_per_mb * reader.optional_number("memory_mb", min_memory_mb,
+                                              max_memory_mb, default_memory_mb);
     settings.shutdown_grace = reader.required_duration("shutdown_grace");
 }
 
--- a/packages/node/src/upstream_pools.cpp
+++ b/packages/node/src/upstream_pools.cpp
@@ -19,18 +19,18 @@
 } // namespace
 
 upstream_pools::upstream_pools(boost::asio::io_context& context,
-                               runtime::clock clock, std::string failure_domain,
-                               std::size_t spare_nodes,
-                               std::string request_id_field)
-    : context_(context), clock_(std::move(clock)),
-      failure_domain_(std::move(failure_domain)), spare_nodes_(spare_nodes),
-      request_id_field_(std::move(request_id_field))
+                               runtime::clock clock, options options,
+                               operators::metrics& metrics)
+    : context_(context), clock_(std::move(clock)), options_(std::move(options)),
+      metrics_(metrics),
+      response_budget_(std::make_shared<upstreams::response_budget>(
+          options_.max_response_memory))
 {
 }
 
 bool upstream_pools::is_in_own_domain(const registered_upstream& upstream) const
 {
-    return upstream.failure_domain == failure_domain_;
+    return upstream.failure_domain == options_.failure_domain;
 }
 
 std::size_t
@@ -48,7 +48,8 @@
         is_in_own_domain(upstream) && domain_nodes != nodes_by_domain_.end()
             ? domain_nodes->second
             : node_count_;
-    return std::max<std::size_t>(1, max_connections / (count + spare_nodes_));
+    return std::max<std::size_t>(1, max_connections /
+                                        (count + options_.spare_nodes));
 }
 
 std::size_t
@@ -68,8 +69,7 @@
         .add("failure_domain", upstream.failure_domain)
         .add("revision", upstream.revision);
     const upstreams::forward_pool::options options{
-        .connection = {.target = {upstream.address, upstream.port},
-                       .request_id_field = request_id_field_},
+        .connection = make_connection_options(upstream),
         .max_connections = [this,
                             upstream] { return connection_share(upstream); },
         .warm_connections =
@@ -84,6 +84,30 @@
     }
 }
 
+upstreams::forward_connection::options upstream_pools::make_connection_options(
+    const registered_upstream& upstream) const
+{
+    return {.target = {upstream.address, upstream.port},
+            .responses = {.request_id_field = options_.request_id_field,
+                          .service = upstream.service,
+                          .budget = response_budget_},
+            .on_rejected = [this, upstream](upstreams::response_fault fault) {
+                record_rejection(upstream, fault);
+            }};
+}
+
+void upstream_pools::record_rejection(const registered_upstream& upstream,
+                                      upstreams::response_fault fault) const
+{
+    const std::string name(upstreams::to_string(fault));
+    metrics_.count(
+        {"tamarackhoist_responses_rejected_total", "fault=\"" + name + "\""});
+    runtime::log_line(event_number::upstream_response_rejected)
+        .add("upstream", upstream.id)
+        .add("service", upstream.service)
+        .add("fault", name);
+}
+
 void upstream_pools::close(const registered_upstream& upstream)
 {
     runtime::log_line(event_number::upstream_gone)
--- a/packages/node/tests/gateway_settings_test.cpp
+++ b/packages/node/tests/gateway_settings_test.cpp
@@ -12,6 +12,7 @@
 std::string make_settings(const std::string& seeds, const std::string& callers)
 {
     return "[node]\nid = n\nfailure_domain = z\nregion = r\ncores = 0.25\n"
+           "memory_mb = 160\n"
            "shutdown_grace = 6s\n[addresses]\ncallers = " +
            callers +
            "\nreadiness = 10.0.0.1:2\npeers = 10.0.0.1:3\n"
@@ -32,6 +33,7 @@
     cr_assert(read.shutdown_grace == 6s);
     cr_assert_float_eq(read.cores, 0.25, 1e-9);
     cr_assert_eq(read.extra_attempt_allowance, 52U);
+    cr_assert_eq(read.memory, 160U * 1024 * 1024);
 }
 
 /// The template renders an empty value if there are no seeds.
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -30,6 +30,7 @@
     upstream_draining = 301,
     upstream_added = 302,
     upstream_gone = 303,
+    upstream_response_rejected = 304,
     peer_connection_failed = 400,
     peer_message_rejected = 401,
     member_joined = 410,
--- a/packages/runtime/src/event.cpp
+++ b/packages/runtime/src/event.cpp
@@ -34,6 +34,8 @@
     event_description{upstream_draining, information, "upstream draining"},
     event_description{upstream_added, information, "upstream added"},
     event_description{upstream_gone, information, "upstream gone"},
+    event_description{upstream_response_rejected, warning,
+                      "upstream response rejected"},
     event_description{peer_connection_failed, warning,
                       "peer connection failed"},
     event_description{peer_message_rejected, warning, "peer message rejected"},
--- a/packages/transport/include/tamarackhoist/transport/http_message.hpp
+++ b/packages/transport/include/tamarackhoist/transport/http_message.hpp
@@ -14,6 +14,11 @@
 using http_response =
     boost::beast::http::response<boost::beast::http::string_body>;
 
+/// Returns the class of the status code, also of codes that Beast has no name
+/// for.
+[[nodiscard]] boost::beast::http::status_class
+get_status_class(const http_response& response);
+
 /// Returns an HTTP/1.1 response with a body of the given media type.
 [[nodiscard]] http_response make_response(boost::beast::http::status status,
                                           std::string body,
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -5,6 +5,11 @@
 namespace tamarackhoist::transport
 {
 
+boost::beast::http::status_class get_status_class(const http_response& response)
+{
+    return boost::beast::http::to_status_class(response.result_int());
+}
+
 http_response make_response(boost::beast::http::status status, std::string body,
                             std::string_view media_type)
 {
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
@@ -5,17 +5,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <tamarackhoist/runtime/clock.hpp>
 #include <tamarackhoist/transport/endpoint.hpp>
 #include <tamarackhoist/transport/http_message.hpp>
+#include <tamarackhoist/upstreams/response_fault.hpp>
+#include <tamarackhoist/upstreams/response_reader.hpp>
 
 namespace tamarackhoist::upstreams
 {
@@ -25,7 +24,7 @@
     /// Request line, header and body.
     std::string bytes;
     /// A response is accepted only if it carries this ID in the field
-    /// `forward_connection::options::request_id_field`.
+    /// `response_reader::options::request_id_field`.
     std::string request_id;
     /// Whether the method is HEAD, whose response has no body.
     bool is_head = false;
@@ -57,11 +56,11 @@
 public:
     struct options {
         transport::endpoint target;
-        /// Name of the response header field that repeats the request ID.
-        std::string request_id_field;
+        response_reader::options responses;
         runtime::duration connect_timeout = std::chrono::seconds(1);
-        /// Limit of a response's body.
-        std::size_t max_response_bytes = 4 * 1024 * 1024;
+        /// Called when the connection is closed because of what the upstream
+        /// sent; may be empty.
+        std::function<void(response_fault)> on_rejected = nullptr;
     };
 
     /// Starts to connect. `on_opened` is called once with the outcome,
@@ -92,9 +91,6 @@
     [[nodiscard]] runtime::duration idle_time() const;
 
 private:
-    using parser_type =
-        boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     forward_connection(boost::asio::io_context& context, runtime::clock clock,
                        options options,
                        std::function<void(bool is_open)> on_opened,
@@ -105,9 +101,9 @@
     void set_socket_options();
     void read();
     void handle_read(boost::system::error_code error, std::string_view bytes);
-    void parse();
+    void handle_progress(response_reader::progress progress);
     void handle_complete_response();
-    void reset_parser();
+    void reject(response_fault fault);
     void write_remaining(std::size_t written);
     void update_idle_timeout(const transport::http_response& response);
     void fail();
@@ -124,8 +120,7 @@
     bool is_request_written_ = false;
     forward_request request_;
     result_handler handle_;
-    std::optional<parser_type> parser_;
-    std::string unparsed_;
+    response_reader reader_;
     runtime::time_point idle_since_{};
     /// Time after which the upstream closes the idle connection.
     runtime::duration idle_timeout_ = std::chrono::seconds(4);
--- a/packages/upstreams/src/forward_connection.cpp
+++ b/packages/upstreams/src/forward_connection.cpp
@@ -27,7 +27,6 @@
 /// An idle connection counts as stale this long before the upstream's idle
 /// timeout, so that the upstream doesn't close it under a new request.
 constexpr runtime::duration idle_timeout_margin = 500ms;
-constexpr std::size_t max_header_bytes = 64 * 1024;
 
 } // namespace
 
@@ -49,7 +48,7 @@
                                        std::function<void()> on_closed)
     : socket_(context), connect_timer_(context), clock_(std::move(clock)),
       options_(std::move(options)), on_opened_(std::move(on_opened)),
-      on_closed_(std::move(on_closed))
+      on_closed_(std::move(on_closed)), reader_(options_.responses)
 {
 }
 
@@ -122,7 +121,7 @@
     is_request_written_ = false;
     request_ = std::move(request);
     handle_ = std::move(handle);
-    reset_parser();
+    reader_.start(request_.request_id, request_.is_head);
     error_code error;
     const auto written =
         socket_.write_some(asio::buffer(request_.bytes), error);
@@ -151,15 +150,6 @@
                       });
 }
 
-void forward_connection::reset_parser()
-{
-    parser_.emplace();
-    parser_->header_limit(max_header_bytes);
-    parser_->body_limit(options_.max_response_bytes);
-    parser_->eager(true);
-    parser_->skip(request_.is_head);
-}
-
 void forward_connection::read()
 {
     auto self = shared_from_this();
@@ -173,76 +163,47 @@
 
 void forward_connection::handle_read(error_code error, std::string_view bytes)
 {
-    if (error == asio::error::eof && is_busy_ && parser_->got_some()) {
+    if (error == asio::error::eof && is_busy_ && reader_.has_begun()) {
         // A response without a length ends where the connection ends.
-        error_code parse_error;
-        parser_->put_eof(parse_error);
-        if (!parse_error && parser_->is_done()) {
-            handle_complete_response();
-            return;
-        }
+        handle_progress(reader_.read_end());
+        return;
     }
-    if (error || !is_busy_) {
-        // Data that arrives on an idle connection belongs to no request.
+    if (error) {
         fail();
         return;
     }
-    unparsed_.append(bytes);
-    parse();
+    if (!is_busy_) {
+        // Data that arrives on an idle connection belongs to no request.
+        reject(response_fault::unexpected);
+        return;
+    }
+    handle_progress(reader_.read(bytes));
     if (is_open_) {
         read();
     }
 }
 
-void forward_connection::parse()
+void forward_connection::handle_progress(response_reader::progress progress)
 {
-    while (is_open_ && is_busy_ && !unparsed_.empty()) {
-        error_code error;
-        const auto used = parser_->put(asio::buffer(unparsed_), error);
-        unparsed_.erase(0, used);
-        if (error == http::error::need_more) {
-            return;
-        }
-        if (error) {
-            fail();
-            return;
-        }
-        if (parser_->is_done()) {
-            handle_complete_response();
-            continue;
-        }
-        if (used == 0) {
-            return;
-        }
-    }
-    if (is_open_ && !unparsed_.empty()) {
-        fail();
+    switch (progress) {
+    case response_reader::progress::incomplete:
+        return;
+    case response_reader::progress::complete:
+        handle_complete_response();
+        return;
+    case response_reader::progress::rejected:
+        reject(reader_.fault());
+        return;
     }
 }
 
 void forward_connection::handle_complete_response()
 {
-    const auto& response = parser_->get();
-    const bool is_interim = http::to_status_class(response.result()) ==
-                            http::status_class::informational;
-    const auto id = response.find(options_.request_id_field);
-    const bool has_wrong_id =
-        id == response.end() || id->value() != request_.request_id;
-    if (is_interim || has_wrong_id) {
-        // Skip interim responses and late duplicates of earlier responses;
-        // the response to the current request has yet to arrive.
-        if (parser_->keep_alive()) {
-            reset_parser();
-            return;
-        }
-        fail();
-        return;
-    }
     auto handle = std::exchange(handle_, nullptr);
-    forward_result result{forward_status::answered, parser_->release()};
+    forward_result result{forward_status::answered, reader_.take_response()};
     const bool is_reusable =
         result.response.keep_alive() && !result.response.need_eof() &&
-        is_request_written_ && unparsed_.empty() && socket_.is_open();
+        is_request_written_ && !reader_.has_excess() && socket_.is_open();
     update_idle_timeout(result.response);
     is_busy_ = false;
     idle_since_ = clock_.now();
@@ -274,6 +235,14 @@
     }
 }
 
+void forward_connection::reject(response_fault fault)
+{
+    if (options_.on_rejected) {
+        options_.on_rejected(fault);
+    }
+    fail();
+}
+
 void forward_connection::fail()
 {
     if (!is_open_) {
--- a/packages/upstreams/tests/forward_pool_test.cpp
+++ b/packages/upstreams/tests/forward_pool_test.cpp
@@ -1,7 +1,5 @@
-#include "scripted_upstream.hpp"
+#include "pool_fixture.hpp"
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
-#include <tamarackhoist/upstreams/forward_pool.hpp>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -13,76 +11,12 @@
 using upstreams::forward_status;
 using upstreams::make_reply;
 using upstreams::parse_request_id;
+using upstreams::pool_fixture;
 using upstreams::scripted_upstream;
 
 namespace
 {
 
-/// A pool of connections to one scripted upstream.
-class pool_fixture
-{
-public:
-    explicit pool_fixture(scripted_upstream::script script,
-                          std::size_t connections = 1)
-        : upstream(context, std::move(script)),
-          pool(std::make_shared<upstreams::forward_pool>(
-              context, runtime::clock::boot(),
-              upstreams::forward_pool::options{
-                  .connection = {.target = upstream.listen_endpoint(),
-                                 .request_id_field = "X-Id"},
-                  .max_connections = [connections] { return connections; },
-                  .warm_connections =
-                      [] {
-                          return std::size_t(0);
-                      }}))
-    {
-    }
-
-    std::uint64_t send(const std::string& id, std::uint32_t priority = 0,
-                       connection_use use = connection_use::any)
-    {
-        return pool->send(
-            priority, use,
-            [id] {
-                return upstreams::forward_request{
-                    "GET / HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n\r\n", id,
-                    false};
-            },
-            [this, id](forward_result result) {
-                ended_ids.push_back(id);
-                results.push_back(std::move(result));
-            });
-    }
-
-    /// Processes events until `count` requests have ended, for at most a
-    /// second.
-    void run_until(std::size_t count)
-    {
-        const auto end = std::chrono::steady_clock::now() + 1s;
-        while (results.size() < count &&
-               std::chrono::steady_clock::now() < end) {
-            context.run_one_for(10ms);
-        }
-        cr_assert_eq(results.size(), count, "%zu results", results.size());
-    }
-
-    /// Processes events for 50 ms.
-    void process_events()
-    {
-        const auto end = std::chrono::steady_clock::now() + 50ms;
-        while (std::chrono::steady_clock::now() < end) {
-            context.run_one_for(5ms);
-        }
-    }
-
-    boost::asio::io_context context;
-    scripted_upstream upstream;
-    std::shared_ptr<upstreams::forward_pool> pool;
-    /// IDs of the requests that have ended, in the order of `results`.
-    std::vector<std::string> ended_ids;
-    std::vector<forward_result> results;
-};
-
 void connections_are_reused()
 {
     pool_fixture fixture([](const std::string& header, int) {
@@ -256,7 +190,8 @@
     fixture.pool = std::make_shared<upstreams::forward_pool>(
         fixture.context, runtime::clock::boot(),
         upstreams::forward_pool::options{
-            .connection = {.target = target, .request_id_field = "X-Id"},
+            .connection = {.target = target,
+                           .responses = {.request_id_field = "X-Id"}},
             .max_connections = [] { return std::size_t(1); },
             .warm_connections =
                 [] {
--- /dev/null
+++ b/packages/upstreams/tests/response_reader_test.cpp
@@ -0,0 +1,175 @@
+#include "pool_fixture.hpp"
+#include <algorithm>
+#include <string>
+#include <tamarackhoist/upstreams/response_budget.hpp>
+#include <tamarackhoist/upstreams/response_reader.hpp>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace tamarackhoist;
+using upstreams::response_budget;
+using upstreams::response_fault;
+using upstreams::response_reader;
+using upstreams::response_reservation;
+
+namespace
+{
+
+constexpr std::size_t free_bytes = response_reservation::unreserved_bytes;
+
+void small_responses_need_no_reservation()
+{
+    const auto budget = std::make_shared<response_budget>(0);
+    response_reservation small(budget, "service");
+    cr_assert(small.grow_to(free_bytes));
+    cr_assert(!small.grow_to(free_bytes + 1));
+    cr_assert_eq(budget->used(), 0U);
+}
+
+void a_reservation_is_given_back()
+{
+    const auto budget = std::make_shared<response_budget>(1000);
+    {
+        response_reservation first(budget, "service");
+        cr_assert(first.grow_to(free_bytes + 300));
+        cr_assert(first.grow_to(free_bytes + 400));
+        cr_assert_eq(budget->used(), 400U);
+        first.release();
+        cr_assert_eq(budget->used(), 0U);
+        cr_assert(first.grow_to(free_bytes + 500));
+    }
+    cr_assert_eq(budget->used(), 0U);
+}
+
+/// The upstreams of one service send without end: the others keep half.
+void one_service_gets_at_most_half()
+{
+    const auto budget = std::make_shared<response_budget>(1000);
+    response_reservation faulty(budget, "faulty");
+    response_reservation faulty_too(budget, "faulty");
+    response_reservation healthy(budget, "healthy");
+    cr_assert(faulty.grow_to(free_bytes + 400));
+    cr_assert(!faulty_too.grow_to(free_bytes + 101));
+    cr_assert(faulty_too.grow_to(free_bytes + 100));
+    cr_assert(healthy.grow_to(free_bytes + 500));
+    cr_assert(!healthy.grow_to(free_bytes + 501));
+}
+
+/// A few dozen endless bodies at once: a node holds no more than its budget and
+/// the part that each response may hold anyway.
+void many_endless_bodies_stay_within_the_budget()
+{
+    constexpr std::size_t readers = 130;
+    constexpr std::size_t max_bytes = std::size_t(8) * 1024 * 1024;
+    const auto budget = std::make_shared<response_budget>(max_bytes);
+    std::vector<std::unique_ptr<response_reader>> all;
+    for (std::size_t number = 0; number < readers; ++number) {
+        all.push_back(
+            std::make_unique<response_reader>(response_reader::options{
+                .request_id_field = "X-Id",
+                .service = "shard-" + std::to_string(number),
+                .budget = budget}));
+        all.back()->start("r", false);
+        const auto begun =
+            all.back()->read("HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n");
+        cr_assert(begun == response_reader::progress::incomplete);
+    }
+    const std::string block(16 * 1024, 'b');
+    std::vector<bool> is_rejected(readers, false);
+    for (int round = 0; round < 300; ++round) {
+        for (std::size_t number = 0; number < readers; ++number) {
+            if (is_rejected[number]) {
+                continue;
+            }
+            const auto progress = all[number]->read(block);
+            is_rejected[number] =
+                progress == response_reader::progress::rejected;
+            cr_assert_leq(budget->used(), max_bytes);
+        }
+    }
+    cr_assert(std::find(is_rejected.begin(), is_rejected.end(), false) ==
+              is_rejected.end());
+    cr_assert_eq(budget->used(), 0U);
+}
+
+/// The fault tells an operator why a response was rejected.
+void the_fault_is_reported()
+{
+    struct example {
+        std::string bytes;
+        response_fault fault;
+    };
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string interim;
+    for (int number = 0; number < 20; ++number) {
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    const std::vector<example> examples{
+        {"garbage\r\n\r\n", response_fault::malformed},
+        {"HTTP/1.1 200 OK\r\nX-Long: " + std::string(70'000, 'x'),
+         response_fault::head_too_large},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+         response_fault::body_too_large},
+        {chunked + "5;" + std::string(70'000, 'x'),
+         response_fault::framing_too_large},
+        {interim, response_fault::too_many_skipped},
+    };
+    for (const auto& each : examples) {
+        response_reader reader({.request_id_field = "X-Id"});
+        reader.start("r", false);
+        cr_assert(reader.read(each.bytes) ==
+                  response_reader::progress::rejected);
+        cr_assert(reader.fault() == each.fault, "%s",
+                  std::string(upstreams::to_string(reader.fault())).c_str());
+    }
+}
+
+/// However the bytes are cut, the same response is read.
+void a_response_is_read_in_any_pieces()
+{
+    const std::string bytes =
+        "HTTP/1.1 103 Early Hints\r\nX-Id: r\r\n\r\n" +
+        upstreams::make_reply("earlier", "stray") +
+        "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: t\r\n\r\n";
+    for (std::size_t size = 1; size <= bytes.size(); ++size) {
+        response_reader reader({.request_id_field = "X-Id"});
+        reader.start("r", false);
+        auto progress = response_reader::progress::incomplete;
+        for (std::size_t at = 0; at < bytes.size(); at += size) {
+            progress = reader.read(std::string_view(bytes).substr(at, size));
+        }
+        cr_assert(progress == response_reader::progress::complete, "%zu", size);
+        cr_assert(!reader.has_excess());
+        cr_assert_eq(reader.take_response().body(), "abcde");
+    }
+}
+
+} // namespace
+
+Test(response_budget, small)
+{
+    small_responses_need_no_reservation();
+}
+Test(response_budget, given_back)
+{
+    a_reservation_is_given_back();
+}
+Test(response_budget, share)
+{
+    one_service_gets_at_most_half();
+}
+Test(response_budget, endless_bodies)
+{
+    many_endless_bodies_stay_within_the_budget();
+}
+Test(response_reader, faults)
+{
+    the_fault_is_reported();
+}
+Test(response_reader, pieces)
+{
+    a_response_is_read_in_any_pieces();
+}
--- a/packages/upstreams/tests/scripted_upstream.hpp
+++ b/packages/upstreams/tests/scripted_upstream.hpp
@@ -22,6 +22,9 @@
         std::string bytes;
         /// Closes the connection after `bytes` are written.
         bool closes_connection = false;
+        /// Written after `bytes` again and again until the client closes the
+        /// connection; nothing if empty.
+        std::string repeated_bytes = {};
     };
     /// Returns the reply to the request with this header. `number` counts the
     /// requests from 0.
@@ -40,6 +43,16 @@
     }
     [[nodiscard]] int requests() const { return requests_; }
     [[nodiscard]] int connections() const { return connections_; }
+    /// Replies with `reply::repeated_bytes` whose connection the client closed.
+    [[nodiscard]] int closed_endless_replies() const
+    {
+        return closed_endless_replies_;
+    }
+    /// Bytes of `reply::repeated_bytes` that have been written.
+    [[nodiscard]] std::size_t repeated_byte_count() const
+    {
+        return repeated_byte_count_;
+    }
 
 private:
     struct connection {
@@ -50,6 +63,7 @@
         boost::asio::ip::tcp::socket socket;
         std::string received;
         std::string outgoing;
+        std::string repeated;
     };
 
     void accept()
@@ -78,6 +92,7 @@
                 client->received.erase(0, size);
                 const auto reply = answer_(header, requests_++);
                 client->outgoing = reply.bytes;
+                client->repeated = reply.repeated_bytes;
                 boost::asio::async_write(
                     client->socket, boost::asio::buffer(client->outgoing),
                     [this, client, closes_connection = reply.closes_connection](
@@ -86,15 +101,36 @@
                             client->socket.close();
                             return;
                         }
+                        if (!client->repeated.empty()) {
+                            write_repeatedly(client);
+                            return;
+                        }
                         read(client);
                     });
             });
     }
 
+    void write_repeatedly(const std::shared_ptr<connection>& client)
+    {
+        boost::asio::async_write(
+            client->socket, boost::asio::buffer(client->repeated),
+            [this, client](boost::system::error_code error, std::size_t size) {
+                if (error) {
+                    client->socket.close();
+                    ++closed_endless_replies_;
+                    return;
+                }
+                repeated_byte_count_ += size;
+                write_repeatedly(client);
+            });
+    }
+
     boost::asio::ip::tcp::acceptor acceptor_;
     const script answer_;
     int requests_ = 0;
     int connections_ = 0;
+    int closed_endless_replies_ = 0;
+    std::size_t repeated_byte_count_ = 0;
 };
 
 /// Returns a valid response that carries this request ID.
