transport: Bound unparsed data, and refuse a late duplicate response

Cause: http_connection and http_server read into a buffer without a limit. A second copy of a response that arrived late, on the idle connection, was read as the response to the next exchange; an interim response ended the exchange, and the real response was read as the next one.

Change: the buffers have a limit; an exchange first looks whether the idle connection was closed or received data; an interim response ends it as broken.

--- a/packages/transport/include/tamarackhoist/transport/http_connection.hpp
+++ b/packages/transport/include/tamarackhoist/transport/http_connection.hpp
@@ -63,6 +63,10 @@
     [[nodiscard]] bool is_open() const { return is_open_; }
 
 private:
+    /// Whether the idle connection was closed by the peer or received data,
+    /// which belongs to no request.
+    [[nodiscard]] bool has_unexpected_data();
+
     explicit http_connection(boost::asio::any_io_executor executor);
 
     boost::asio::awaitable<void> run_connect(endpoint target,
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -23,6 +23,9 @@
 {
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+/// Limit of the received data that is not parsed yet. It bounds the parts of a
+/// response that the parser takes only whole, such as a chunk header.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
 
 } // namespace
 
@@ -87,6 +90,9 @@
                                                     exchange_handler handle)
 {
     const auto self = shared_from_this();
+    if (has_unexpected_data()) {
+        close();
+    }
     if (!is_open_) {
         handle({exchange_status::not_sent, {}});
         co_return;
@@ -101,20 +107,24 @@
         handle({exchange_status::broken, {}});
         co_return;
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_response_bytes);
     auto [read_error, size] =
         co_await http::async_read(stream_, buffer, parser, use_tuple);
     is_busy_ = false;
+    // The requests expect no interim response, so one is a protocol violation.
+    const bool is_answered =
+        !read_error &&
+        get_status_class(parser.get()) != http::status_class::informational;
     // Bytes after the response belong to no request, so the connection cannot
     // be used for another exchange.
     const bool is_reusable =
-        !read_error && parser.get().keep_alive() && buffer.size() == 0;
+        is_answered && parser.get().keep_alive() && buffer.size() == 0;
     if (!is_reusable) {
         close();
     }
-    if (read_error) {
+    if (!is_answered) {
         handle({exchange_status::broken, {}});
         co_return;
     }
@@ -122,6 +132,20 @@
     handle({exchange_status::answered, parser.release()});
 }
 
+bool http_connection::has_unexpected_data()
+{
+    if (!is_open_) {
+        return false;
+    }
+    // The socket of an idle connection becomes readable if the peer has closed
+    // it or sends bytes that belong to no request, such as a late duplicate.
+    boost::system::error_code error;
+    char byte = 0;
+    stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                             error);
+    return error != asio::error::would_block;
+}
+
 void http_connection::watch_idle(std::function<void()> handle)
 {
     auto self = shared_from_this();
@@ -129,16 +153,8 @@
         tcp::socket::wait_read,
         [self, handle = std::move(handle)](boost::system::error_code error) {
             // The socket becomes readable during an exchange because of the
-            // response. If it does while idle, the peer has closed the
-            // connection or violates the protocol.
-            if (error || self->is_busy_ || !self->is_open_) {
-                return;
-            }
-            boost::system::error_code peek_error;
-            char byte = 0;
-            self->stream_.socket().receive(
-                asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
-            if (peek_error == asio::error::would_block) {
+            // response.
+            if (error || self->is_busy_ || !self->has_unexpected_data()) {
                 return;
             }
             self->close();
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -31,6 +31,9 @@
 /// descriptors.
 constexpr auto accept_retry_delay = std::chrono::milliseconds(50);
 
+/// Room for received data beyond the limit of a head.
+constexpr std::size_t read_ahead_bytes = 16 * 1024;
+
 /// Returns the status to respond with to a request that failed to parse, or
 /// nothing if the connection failed and is closed without a response.
 std::optional<http::status> rejection_status(beast::error_code error)
@@ -143,7 +146,9 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    // Bounds the parts of a request that the parser takes only whole, such as
+    // a chunk header.
+    beast::flat_buffer buffer(limits_.max_header_bytes + read_ahead_bytes);
     bool is_open = true;
     while (is_open) {
         http::request_parser<http::string_body> parser;
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -57,6 +57,23 @@
         return response;
     }
 
+    /// Sends `beginning` and then `repeated` again and again until the server
+    /// closes the connection, up to `max_bytes`. Returns the bytes sent.
+    std::size_t send_endlessly(const std::string& beginning,
+                               const std::string& repeated,
+                               std::size_t max_bytes)
+    {
+        asio::io_context client;
+        asio::ip::tcp::socket socket(client);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server_->port()});
+        boost::system::error_code error;
+        auto sent = asio::write(socket, asio::buffer(beginning), error);
+        while (!error && sent < max_bytes) {
+            sent += asio::write(socket, asio::buffer(repeated), error);
+        }
+        return sent;
+    }
+
     std::atomic<int> requests{0};
 
 private:
@@ -97,6 +114,22 @@
                          "200"));
 }
 
+/// A chunk header or a trailer is parsed only whole, so an endless one would
+/// fill the memory.
+void endless_framing_is_rejected()
+{
+    constexpr std::size_t max_bytes = std::size_t(64) * 1024 * 1024;
+    const std::string head =
+        "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string framing : {"3;name=", "0\r\nX-Trailer: "}) {
+        server_fixture server;
+        cr_assert_lt(server.send_endlessly(head + framing,
+                                           std::string(10'000, 'x'), max_bytes),
+                     max_bytes);
+        cr_assert_eq(server.requests.load(), 0);
+    }
+}
+
 void a_refused_connection_is_reported_as_not_sent()
 {
     asio::io_context context;
@@ -117,6 +150,10 @@
 {
     a_connection_serves_several_requests();
 }
+Test(http_server, endless_framing)
+{
+    endless_framing_is_rejected();
+}
 Test(http_server, oversized_and_malformed)
 {
     oversized_and_malformed_requests_are_rejected();
