callers: Reject endless chunk framing, and read heads up to their limit

Cause: reading pauses at 64 KB of unparsed data. A caller's chunk header or trailer without end held the connection until the idle timeout. Where the configuration allows heads of more than 64 KB, such a head was never read whole, and its caller got 408.

Change: framing beyond the limit of a head is rejected with 431 at once; reading pauses only while a request is being answered.

--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -128,7 +128,9 @@
     if (state_ == state::reading) {
         parse();
     }
-    if (unparsed_.size() < max_pipelined_bytes) {
+    const bool is_paused =
+        state_ != state::reading && unparsed_.size() >= max_pipelined_bytes;
+    if (!is_paused) {
         read();
     }
 }
@@ -147,10 +149,15 @@
         if (!was_header_done && parser_->is_header_done()) {
             arm_timer(limits_.idle_timeout);
         }
-        if (error == http::error::need_more) {
+        // The parser leaves incomplete lines to the caller. It limits those of
+        // the head, but not chunk headers and trailers.
+        const bool is_framing_too_large =
+            error == http::error::need_more &&
+            unparsed_.size() > limits_.max_header_bytes;
+        if (error == http::error::need_more && !is_framing_too_large) {
             return;
         }
-        if (error == http::error::header_limit) {
+        if (error == http::error::header_limit || is_framing_too_large) {
             reject(status_header_too_large, "Request Header Fields Too Large");
             return;
         }
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -106,6 +106,41 @@
     cr_assert(fixture.read_received().ends_with("/b|abc"));
 }
 
+/// A chunk header or a trailer is parsed only whole, so an endless one would
+/// fill the memory or hold the connection.
+void endless_framing_is_rejected()
+{
+    const std::string head =
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string framing : {"3;name=", "0\r\nX-Trailer: "}) {
+        server_fixture fixture;
+        cr_assert_eq(fixture.send_and_read_status(head + framing +
+                                                  std::string(2000, 'x')),
+                     "431");
+        cr_assert(fixture.exchanges.empty());
+    }
+}
+
+/// The limit of a head may exceed what is buffered of pipelined requests.
+void a_head_up_to_a_large_limit_is_read()
+{
+    server_fixture fixture;
+    fixture.limits.max_header_bytes = 200 * 1000;
+    asio::ip::tcp::socket caller(fixture.context);
+    caller.connect(
+        {asio::ip::make_address("127.0.0.1"), fixture.server->port()});
+    fixture.process_events();
+    std::string fields;
+    for (int number = 0; number < 100; ++number) {
+        fields += "X-Long: " + std::string(1500, 'x') + "\r\n";
+    }
+    asio::write(caller, asio::buffer("GET /large HTTP/1.1\r\n" + fields));
+    fixture.process_events();
+    asio::write(caller, asio::buffer(std::string("Host: h\r\n\r\n")));
+    fixture.process_events();
+    cr_assert_eq(fixture.exchanges.size(), 1U);
+}
+
 void pipelined_requests_are_answered_in_order()
 {
     server_fixture fixture;
@@ -223,6 +258,14 @@
 
 } // namespace
 
+Test(forward_server, endless_framing)
+{
+    endless_framing_is_rejected();
+}
+Test(forward_server, large_head)
+{
+    a_head_up_to_a_large_limit_is_read();
+}
 Test(forward_server, bodies)
 {
     bodies_with_a_length_and_in_chunks_are_read();
