peers: Limit what incomplete messages of one connection may hold

Cause: each of 65,536 streams of a connection could hold 4 MB. Sixteen calls with bodies of 4 MB were buffered at the same time.

Change: the incomplete messages of a connection hold 16 MB together at most; it is closed beyond.

--- a/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
+++ b/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
@@ -50,6 +50,9 @@
 public:
     /// Maximum size of a request or reply message.
     static constexpr std::size_t max_message_bytes = 4 * 1024 * 1024;
+    /// Limit of the incomplete messages of all streams together. The connection
+    /// is closed beyond it.
+    static constexpr std::size_t max_buffered_bytes = 4 * max_message_bytes;
 
     using stream_id = std::int32_t;
 
@@ -117,6 +120,8 @@
     void read_some();
     void flush();
     void close_now();
+    /// Adds received bytes to a stream. Returns false if they are too many.
+    bool receive(stream_state& stream, std::string_view bytes);
     /// Passes complete reply messages on. Returns false if one is too large.
     bool deliver_messages(stream_state& stream);
     void on_message_end(stream_id id);
@@ -130,6 +135,8 @@
     const server_events server_events_;
     nghttp2_session* session_ = nullptr;
     std::unordered_map<stream_id, stream_state> streams_;
+    /// Sum of `stream_state::received` over all streams.
+    std::size_t buffered_bytes_ = 0;
     std::function<void()> on_closed_;
     std::array<std::uint8_t, 64 * 1024> read_buffer_{};
     std::string write_buffer_;
--- a/packages/peers/src/http2_channel.cpp
+++ b/packages/peers/src/http2_channel.cpp
@@ -117,15 +117,11 @@
         if (found == channel.streams_.end()) {
             return 0;
         }
-        auto& stream = found->second;
-        stream.received.append(reinterpret_cast<const char*>(data), length);
-        const bool is_oversized =
-            stream.received.size() >
-            http2_channel::max_message_bytes + length_prefix_bytes;
-        if (is_oversized || !channel.deliver_messages(stream)) {
-            return NGHTTP2_ERR_CALLBACK_FAILURE;
-        }
-        return 0;
+        const std::string_view bytes(reinterpret_cast<const char*>(data),
+                                     length);
+        return channel.receive(found->second, bytes)
+                   ? 0
+                   : NGHTTP2_ERR_CALLBACK_FAILURE;
     }
 
     static int on_frame(nghttp2_session*, const nghttp2_frame* frame,
@@ -388,6 +384,14 @@
     asio::post(socket_.get_executor(), [self] { self->close_now(); });
 }
 
+bool http2_channel::receive(stream_state& stream, std::string_view bytes)
+{
+    buffered_bytes_ += bytes.size();
+    stream.received.append(bytes);
+    return stream.received.size() <= max_message_bytes + length_prefix_bytes &&
+           buffered_bytes_ <= max_buffered_bytes && deliver_messages(stream);
+}
+
 bool http2_channel::deliver_messages(stream_state& stream)
 {
     if (role_ == role::server) {
@@ -411,6 +415,7 @@
         offset += length_prefix_bytes + length;
     }
     stream.received.erase(0, offset);
+    buffered_bytes_ -= offset;
     return true;
 }
 
@@ -425,8 +430,9 @@
     provider.read_callback = http2_callbacks::read;
     nghttp2_submit_response(session_, id, headers.data(), headers.size(),
                             &provider);
-    server_events_.on_call(id, found->second.path,
-                           std::exchange(found->second.received, {}));
+    auto body = std::exchange(found->second.received, {});
+    buffered_bytes_ -= body.size();
+    server_events_.on_call(id, found->second.path, std::move(body));
 }
 
 void http2_channel::on_stream_closed(stream_id id, bool is_clean)
@@ -436,6 +442,7 @@
         return;
     }
     auto closed = std::move(found->second);
+    buffered_bytes_ -= closed.received.size();
     streams_.erase(found);
     if (closed.events.on_close) {
         closed.events.on_close(is_clean);
