platform: Give up a listing that does not end

Cause: a page of the list that leads back to an earlier key was followed again and again, and the items of all pages were kept.

Change: the key of the next page has to rise, and the items of a list hold 32 MB at most. A response that fails this counts as a failure, with its delay.

--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -171,6 +171,10 @@
     std::minstd_rand random_;
     /// Items of the pages received so far of an unfinished listing.
     std::vector<policy::store_item> listed_items_;
+    /// Size of the keys and values of `listed_items_`.
+    std::size_t listed_bytes_ = 0;
+    /// Key after which the page that was requested last begins.
+    std::optional<std::string> requested_page_;
     /// Revision of the first page of a listing. Later pages may be newer, so
     /// the watch starts from this revision to miss no change.
     std::optional<std::uint64_t> list_revision_;
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -14,6 +14,8 @@
 /// Largest random deviation of a retry delay in either direction, as a
 /// fraction of the delay.
 constexpr double max_retry_jitter = 0.3;
+/// Limit of the keys and values of one list.
+constexpr std::size_t max_listed_bytes = std::size_t(32) * 1024 * 1024;
 
 } // namespace
 
@@ -88,8 +90,10 @@
 {
     if (!after) {
         listed_items_.clear();
+        listed_bytes_ = 0;
         list_revision_.reset();
     }
+    requested_page_ = after;
     calls_.list(after, make_handler(&news_follower::handle_page));
 }
 
@@ -99,13 +103,23 @@
         handle_failure(result.error());
         return;
     }
-    record_response();
     auto& batch = result.value();
     if (!list_revision_) {
         list_revision_ = batch.store_revision;
     }
-    std::move(batch.items.begin(), batch.items.end(),
-              std::back_inserter(listed_items_));
+    for (auto& item : batch.items) {
+        listed_bytes_ += item.key.size() + item.value.size();
+        listed_items_.push_back(std::move(item));
+    }
+    // Pages are ordered by key: one that leads backwards would repeat forever.
+    const bool is_endless = batch.next_page && requested_page_ &&
+                            *batch.next_page <= *requested_page_;
+    if (is_endless || listed_bytes_ > max_listed_bytes) {
+        listed_items_.clear();
+        handle_failure(store_error::unavailable);
+        return;
+    }
+    record_response();
     if (batch.next_page) {
         request_page(batch.next_page);
         return;
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -105,6 +105,38 @@
     cr_assert(fixture.events == (strings{"listed 2", "changed 1"}));
 }
 
+/// A store whose pages lead back to an earlier one would be listed forever, and
+/// the items would fill the memory.
+void a_listing_without_end_is_given_up()
+{
+    follower_fixture fixture;
+    fixture.run({news_batch{{registration("a")}, 7, "servers/b"},
+                 news_batch{{registration("b")}, 7, "servers/b"},
+                 news_batch{{registration("a")}, 8, {}}});
+    cr_assert(fixture.calls ==
+              (strings{"list -", "list servers/b", "list -", "watch 8"}));
+    cr_assert(fixture.events ==
+              (strings{"no usable answer", "regained", "listed 1"}));
+}
+
+void a_listing_that_exceeds_the_memory_limit_is_given_up()
+{
+    const std::string megabyte(1024 * 1024, 'v');
+    news_batch page{{}, 7, {}};
+    for (int number = 0; number < 20; ++number) {
+        page.items.push_back(
+            {"servers/" + std::to_string(number), megabyte, 1, false});
+    }
+    auto first = page;
+    first.next_page = "servers/a";
+    auto second = page;
+    second.next_page = "servers/b";
+    follower_fixture fixture;
+    fixture.run({first, second, news_batch{{registration("a")}, 8, {}}});
+    cr_assert(fixture.events ==
+              (strings{"no usable answer", "regained", "listed 1"}));
+}
+
 void a_lost_history_causes_a_new_listing()
 {
     follower_fixture fixture;
@@ -166,6 +198,14 @@
 
 } // namespace
 
+Test(news_follower, endless_pages)
+{
+    a_listing_without_end_is_given_up();
+}
+Test(news_follower, endless_items)
+{
+    a_listing_that_exceeds_the_memory_limit_is_given_up();
+}
 Test(news_follower, paused)
 {
     a_resumed_follower_watches_from_the_skipped_to_revision();
