policy: Keep only the records of a shard that can be in the answer

Cause: a fan-out kept the whole body of each shard until it was answered: up to 4 MB times the shards.

--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <random>
+#include <tamarackhoist/policy/record_merge.hpp>
 
 namespace tamarackhoist::node
 {
@@ -390,9 +391,10 @@
     if (!route_.is_fan_out()) {
         find_attempt(key).response = std::move(result.response);
     } else if (outcome == attempt_result::answered) {
-        answers_.add(key.shard,
-                     std::string(result.response[shared_->fields.digest]),
-                     std::move(result.response.body()));
+        answers_.add(
+            key.shard, std::string(result.response[shared_->fields.digest]),
+            policy::keep_greatest_records(std::move(result.response.body()),
+                                          route_.top_records));
     }
     coordinator_->record_attempt_end(key, outcome, shared_->clock.now());
     apply_decisions();
--- a/packages/policy/include/tamarackhoist/policy/record_merge.hpp
+++ b/packages/policy/include/tamarackhoist/policy/record_merge.hpp
@@ -18,6 +18,11 @@
 [[nodiscard]] std::string merge_records(std::span<const std::string_view> parts,
                                         std::size_t count);
 
+/// Returns `records` without those that cannot be among the `count` greatest of
+/// a fan-out, so that a large answer of one shard need not be kept whole.
+[[nodiscard]] std::string keep_greatest_records(std::string records,
+                                                std::size_t count);
+
 } // namespace tamarackhoist::policy
 
 #endif
--- a/packages/policy/src/record_merge.cpp
+++ b/packages/policy/src/record_merge.cpp
@@ -31,4 +31,13 @@
     return merged;
 }
 
+std::string keep_greatest_records(std::string records, std::size_t count)
+{
+    if (records.size() <= count * record_bytes) {
+        return records;
+    }
+    const std::string_view all(records);
+    return merge_records({&all, 1}, count);
+}
+
 } // namespace tamarackhoist::policy
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -102,6 +102,18 @@
     cr_assert(policy::merge_records(parts, 5) == high + low);
 }
 
+/// One shard's answer may be far larger than what a fan-out needs of it.
+void records_that_cannot_win_are_left_out()
+{
+    const std::string high(16, '\xff');
+    const std::string low(16, '\x01');
+    cr_assert_eq(policy::keep_greatest_records(low + high + "rest", 5),
+                 low + high + "rest");
+    cr_assert_eq(policy::keep_greatest_records(low + high + low, 2),
+                 high + low);
+    cr_assert_eq(policy::keep_greatest_records(low + high + low, 0), "");
+}
+
 void the_longest_matching_prefix_is_selected()
 {
     policy::route outer;
@@ -275,6 +287,10 @@
 {
     merged_records_match_a_full_sort();
 }
+Test(record_merge, large_answer)
+{
+    records_that_cannot_win_are_left_out();
+}
 Test(record_merge, bytes)
 {
     bytes_compare_as_unsigned_and_partial_records_are_dropped();
