node: End a relayed call at its deadline

Cause: a relay waited for its upstreams until the calling node cancelled. When that node had died or was cut off, a silent or trickling upstream kept the relay's connection, and the upstream at work, for as long as it liked; a graceful stop waited for it too.

Ruled out: TCP_USER_TIMEOUT, which ends only connections whose data is not acknowledged.

Change: the timer of the batching window then waits for the deadline, at which all attempts are cancelled.

--- a/packages/node/src/relayed_call.cpp
+++ b/packages/node/src/relayed_call.cpp
@@ -17,7 +17,7 @@
     : shared_(std::move(shared)), call_(std::move(call)),
       request_(std::move(request)), started_(shared_->clock.now()),
       deadline_(started_ + request_.remaining),
-      on_finished_(std::move(on_finished)), batch_timer_(shared_->io_context),
+      on_finished_(std::move(on_finished)), timer_(shared_->io_context),
       attempts_(request_.targets.size()),
       open_attempts_(request_.targets.size()),
       is_batching_(request_.gather > runtime::duration::zero())
@@ -29,9 +29,7 @@
     for (std::size_t index = 0; index < attempts_.size(); ++index) {
         send(index);
     }
-    if (is_batching_) {
-        arm_batch_timer();
-    }
+    arm_timer();
     finish_if_done();
 }
 
@@ -83,7 +81,8 @@
         return;
     }
     part.digest = std::string(result.response[shared_->fields.digest]);
-    batched_bodies_.push_back(std::move(result.response.body()));
+    batched_bodies_.push_back(policy::keep_greatest_records(
+        std::move(result.response.body()), request_.top_records));
     batched_parts_.push_back(std::move(part));
     if (!is_batching_) {
         send_batch();
@@ -99,21 +98,37 @@
                                    shared_->clock.now() - started_}));
 }
 
-void relayed_call::arm_batch_timer()
+void relayed_call::arm_timer()
 {
     auto self = shared_from_this();
-    batch_timer_.expires_after(request_.gather);
-    batch_timer_.async_wait([self](boost::system::error_code error) {
+    const auto batch_end = started_ + request_.gather;
+    timer_.expires_after(runtime::non_negative(
+        (is_batching_ ? std::min(batch_end, deadline_) : deadline_) -
+        shared_->clock.now()));
+    timer_.async_wait([self](boost::system::error_code error) {
         if (!error) {
-            self->send_batch();
+            self->handle_timer();
         }
     });
 }
 
+void relayed_call::handle_timer()
+{
+    if (shared_->clock.now() >= deadline_) {
+        // The calling node cancels earlier than this, unless it has died or
+        // cannot be reached any more.
+        cancel({});
+        return;
+    }
+    if (is_batching_) {
+        send_batch();
+    }
+    arm_timer();
+}
+
 void relayed_call::send_batch()
 {
     is_batching_ = false;
-    batch_timer_.cancel();
     // The reply is sent even if it is empty: it shows the calling node that
     // this node is alive.
     const auto bodies = std::exchange(batched_bodies_, {});
@@ -150,7 +165,7 @@
     if (!batched_parts_.empty()) {
         send_batch();
     }
-    batch_timer_.cancel();
+    timer_.cancel();
     call_->finish();
     const auto on_finished = std::exchange(on_finished_, nullptr);
     on_finished();
--- a/packages/node/src/relayed_call.hpp
+++ b/packages/node/src/relayed_call.hpp
@@ -39,7 +39,9 @@
 
     void send(std::size_t index);
     void handle_result(std::size_t index, upstreams::forward_result result);
-    void arm_batch_timer();
+    /// Waits for the end of the batching window, then for the deadline.
+    void arm_timer();
+    void handle_timer();
     void send_batch();
     void send_reply(std::vector<peers::relay_part> parts, std::string records);
     void finish_if_done();
@@ -50,7 +52,7 @@
     const runtime::time_point started_;
     const runtime::time_point deadline_;
     std::function<void()> on_finished_;
-    boost::asio::steady_timer batch_timer_;
+    boost::asio::steady_timer timer_;
     std::vector<attempt> attempts_;
     std::size_t open_attempts_ = 0;
     std::vector<peers::relay_part> batched_parts_;
