policy: Compute a request's time limits in one function

Cause: the limits of a request (when an answer still reaches its caller within the latency target, and the deadline) were computed inside forwarded_request, where only a test of whole gateways reached them.

Change: compute_forward_times, with tests; no change of behaviour.

--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -18,12 +18,6 @@
 namespace
 {
 
-/// Time reserved for merging and writing an answer.
-constexpr duration answer_margin = std::chrono::milliseconds(3);
-/// One-way network trips in a caller's latency: the request and the answer,
-/// and two more for the handshake of a new connection.
-constexpr int trips_on_kept_connection = 2;
-constexpr int trips_on_new_connection = 4;
 /// Shards in one call to a relay. Larger parts of a fan-out are split among
 /// several relays.
 constexpr std::size_t max_shards_per_call = 24;
@@ -85,22 +79,12 @@
 
 policy::forward_times forwarded_request::compute_times() const
 {
-    const auto received = exchange_->received_at();
-    const auto trips = exchange_->is_first_on_connection()
-                           ? trips_on_new_connection
-                           : trips_on_kept_connection;
-    const auto delay = shared_->caller_delay;
-    auto allowed = route_.timeout;
-    if (const auto time_left =
-            read_caller_timeout(exchange_->request(), shared_->fields)) {
-        allowed = std::min(allowed,
-                           runtime::non_negative(
-                               *time_left - delay * trips_on_kept_connection));
-    }
-    return {.started = received,
-            .on_time_until = received + route_.latency_target - delay * trips -
-                             answer_margin,
-            .deadline = received + allowed};
+    return policy::compute_forward_times(
+        route_, {.received = exchange_->received_at(),
+                 .delay = shared_->caller_delay,
+                 .is_first_on_connection = exchange_->is_first_on_connection(),
+                 .time_left = read_caller_timeout(exchange_->request(),
+                                                  shared_->fields)});
 }
 
 std::vector<std::string> forwarded_request::choose_services() const
--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <tamarackhoist/policy/forward_context.hpp>
 #include <tamarackhoist/policy/forward_outcome.hpp>
+#include <tamarackhoist/policy/forward_times.hpp>
 #include <tamarackhoist/policy/routing_table.hpp>
 #include <vector>
 
@@ -57,16 +58,6 @@
     std::string_view result = "none";
 };
 
-/// Start and time limits of one request, on the node's clock.
-struct forward_times {
-    runtime::time_point started;
-    /// Latest time to send an answer that reaches the caller within the latency
-    /// target.
-    runtime::time_point on_time_until;
-    /// Time at which the request times out.
-    runtime::time_point deadline;
-};
-
 /// State machine of one forwarded request: selects the upstreams, hedges and
 /// retries attempts, and decides when the answer is final. A request to a
 /// single service is handled as one shard. Performs no I/O; the host reports
