policy: Notice a lost failure domain by pings, and share the probes of its nodes

Ruled out: gossip's suspicion of members, which takes 2 to 3 s.

Change: after a failed contact the domain is pinged four times a second, and a ping without an answer is a failed contact, too; the nodes of a domain send one probe request a second together, the first one interval after the loss began. domain_reach::is_reachable, which repeated the rule of unreachable_domains for tests alone, and membership::has_received_within, which nothing called, go.

Tests: domain_reach_test has four new patterns (many nodes share the probes, few requests, an answered ping, dead nodes with live upstreams). The check of the first probe changed: it was allowed at once, and is now an interval after the loss began, since the failed contacts were as good as a probe.

So callers learn sooner, and no more of them are served: their retry goes to the same domain until the balancer notices.

--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -368,6 +368,7 @@
     context_.set_allowance(
         static_cast<double>(settings_.extra_attempt_allowance) /
         static_cast<double>(count + settings_.spare_nodes));
+    health_.reach().set_own_domain_nodes(nodes[settings_.failure_domain]);
     relay_client_.update_members();
     pools_.set_live_nodes(
         std::move(nodes),
--- a/packages/node/src/health_monitor.cpp
+++ b/packages/node/src/health_monitor.cpp
@@ -46,10 +46,10 @@
 
 void health_monitor::check()
 {
-    const auto lost = reach_.unreachable_domains(clock_.now());
-    for (const auto& domain : lost) {
+    for (const auto& domain : reach_.domains_to_ping(clock_.now())) {
         peers_->ping_domain(domain);
     }
+    const auto lost = reach_.unreachable_domains(clock_.now());
     update_lost_domains({lost.begin(), lost.end()});
     const auto due_at = clock_.now() + check_interval;
     timer_.expires_after(check_interval);
--- a/packages/peers/include/tamarackhoist/peers/membership.hpp
+++ b/packages/peers/include/tamarackhoist/peers/membership.hpp
@@ -122,10 +122,6 @@
     [[nodiscard]] std::optional<member> find(policy::node_id id) const;
     [[nodiscard]] const member& self() const { return self_; }
 
-    /// Returns whether a message of any peer arrived within the last `age`.
-    [[nodiscard]] bool has_received_within(runtime::duration age,
-                                           runtime::time_point now) const;
-
     /// Returns up to `count` live peers, chosen at random.
     [[nodiscard]] std::vector<member> random_peers(std::size_t count);
 
@@ -193,8 +189,6 @@
     runtime::time_point last_seed_ping_at_;
     runtime::time_point last_exchange_at_;
     std::size_t peer_count_at_exchange_ = 0;
-    runtime::time_point last_message_at_;
-    bool has_received_message_ = false;
     digest_summary digest_;
 };
 
--- a/packages/peers/src/membership.cpp
+++ b/packages/peers/src/membership.cpp
@@ -329,8 +329,6 @@
         message.sender.endpoint == self_.endpoint) {
         return;
     }
-    last_message_at_ = now;
-    has_received_message_ = true;
     apply(message.sender, now);
     for (const auto& update : message.updates) {
         apply(update, now);
@@ -466,7 +464,6 @@
 {
     probes_.clear();
     relayed_probes_.clear();
-    has_received_message_ = false;
     for (auto& [name, peer] : peers_) {
         if (peer.description.state == member_state::suspect) {
             peer.changed_at = now;
@@ -538,12 +535,6 @@
     return std::nullopt;
 }
 
-bool membership::has_received_within(runtime::duration age,
-                                     runtime::time_point now) const
-{
-    return has_received_message_ && now - last_message_at_ <= age;
-}
-
 std::vector<member> membership::random_peers(std::size_t count)
 {
     std::vector<member> live;
--- a/packages/policy/include/tamarackhoist/policy/domain_reach.hpp
+++ b/packages/policy/include/tamarackhoist/policy/domain_reach.hpp
@@ -32,12 +32,8 @@
     void record_missed_contact(std::string_view domain,
                                runtime::time_point now);
 
-    /// Returns whether requests may be sent to upstreams of `domain`. True for
-    /// this node's own domain and for domains without any records.
-    [[nodiscard]] bool is_reachable(std::string_view domain,
-                                    runtime::time_point now) const;
-
-    /// Returns the domains that are unreachable.
+    /// Returns the domains that are unreachable; never this node's own domain,
+    /// nor one without any records.
     [[nodiscard]] std::vector<std::string>
     unreachable_domains(runtime::time_point now) const;
 
@@ -52,24 +48,43 @@
                                  const upstream_directory& directory,
                                  runtime::time_point now) const;
 
+    /// Sets the number of live nodes in this node's own failure domain, itself
+    /// included. They share the rate of probes.
+    void set_own_domain_nodes(std::size_t count);
+
     /// Returns true, and starts a new probe interval, if a request that fails
     /// `can_cover` should be sent anyway to check whether the domains are
-    /// reachable again. Returns false within an interval that has had its
-    /// probe.
+    /// reachable again. The nodes of this failure domain send about one probe a
+    /// second together: most requests would be probes if each of many nodes
+    /// sent its own.
     [[nodiscard]] bool try_start_probe(runtime::time_point now);
 
+    /// Returns the domains whose nodes should be pinged now: those that are
+    /// unreachable, and those where a contact failed just now. For the latter,
+    /// a ping without an answer until the next call counts as a failed contact,
+    /// so that a loss is noticed soon even if few requests reach this node. To
+    /// be called periodically.
+    [[nodiscard]] std::vector<std::string>
+    domains_to_ping(runtime::time_point now);
+
 private:
     /// Failed contacts with one domain since it last sent something.
     struct contact_record {
         runtime::time_point first_missed_at;
         runtime::time_point last_missed_at;
         std::uint32_t missed_contacts = 0;
+        /// Whether a ping was sent that has not been answered.
+        bool is_ping_open = false;
     };
 
     [[nodiscard]] static bool is_unreachable(const contact_record& record,
                                              runtime::time_point now);
+    [[nodiscard]] static bool is_suspected(const contact_record& record,
+                                           runtime::time_point now);
+    static void add_miss(contact_record& record, runtime::time_point now);
 
     std::string own_domain_;
+    std::size_t own_domain_nodes_ = 1;
     std::map<std::string, contact_record, std::less<>> records_;
     runtime::time_point last_probe_at_;
 };
--- a/packages/policy/src/domain_reach.cpp
+++ b/packages/policy/src/domain_reach.cpp
@@ -21,8 +21,12 @@
 /// Time after the last failed contact until a domain counts as reachable
 /// again: its nodes may be dead while its upstreams are alive.
 constexpr duration unreachable_expiry = 8s;
-/// Interval of the probe requests that are sent despite insufficient coverage.
+/// Interval of the probe requests that the nodes of a failure domain together
+/// send despite insufficient coverage.
 constexpr duration probe_interval = 1s;
+/// Time after a failed contact in which pings find out whether the domain is
+/// lost.
+constexpr duration suspicion_time = 1s;
 
 } // namespace
 
@@ -48,7 +52,11 @@
         // count as lost.
         return;
     }
-    auto& record = found->second;
+    add_miss(found->second, now);
+}
+
+void domain_reach::add_miss(contact_record& record, time_point now)
+{
     if (record.missed_contacts == 0) {
         record.first_missed_at = now;
     }
@@ -56,6 +64,12 @@
     ++record.missed_contacts;
 }
 
+bool domain_reach::is_suspected(const contact_record& record, time_point now)
+{
+    return record.missed_contacts > 0 && !is_unreachable(record, now) &&
+           now - record.last_missed_at <= suspicion_time;
+}
+
 bool domain_reach::is_unreachable(const contact_record& record, time_point now)
 {
     if (record.missed_contacts < min_missed_contacts ||
@@ -65,22 +79,46 @@
     return now - record.last_missed_at < unreachable_expiry;
 }
 
+void domain_reach::set_own_domain_nodes(std::size_t count)
+{
+    own_domain_nodes_ = std::max<std::size_t>(1, count);
+}
+
 bool domain_reach::try_start_probe(time_point now)
 {
-    if (now - last_probe_at_ < probe_interval) {
+    // The failed contacts that showed the loss were as good as a probe.
+    auto last_probe_at = last_probe_at_;
+    for (const auto& [domain, record] : records_) {
+        if (is_unreachable(record, now)) {
+            last_probe_at = std::max(last_probe_at, record.first_missed_at);
+        }
+    }
+    const auto interval =
+        probe_interval * static_cast<std::int64_t>(own_domain_nodes_);
+    if (now - last_probe_at < interval) {
         return false;
     }
     last_probe_at_ = now;
     return true;
 }
 
-bool domain_reach::is_reachable(std::string_view domain, time_point now) const
+std::vector<std::string> domain_reach::domains_to_ping(time_point now)
 {
-    if (domain == own_domain_) {
-        return true;
+    std::vector<std::string> domains;
+    for (auto& [domain, record] : records_) {
+        if (domain == own_domain_) {
+            continue;
+        }
+        const bool is_in_doubt = is_suspected(record, now);
+        if (is_in_doubt && record.is_ping_open) {
+            add_miss(record, now);
+        }
+        record.is_ping_open = is_in_doubt;
+        if (is_in_doubt || is_unreachable(record, now)) {
+            domains.push_back(domain);
+        }
     }
-    const auto found = records_.find(domain);
-    return found == records_.end() || !is_unreachable(found->second, now);
+    return domains;
 }
 
 std::vector<std::string> domain_reach::unreachable_domains(time_point now) const
@@ -110,18 +148,17 @@
     if (unreachable.empty() || !route.is_fan_out()) {
         return true;
     }
-    const auto is_reachable_upstream = [&](const upstream_handle& upstream) {
+    const auto is_reachable = [&](const upstream_handle& upstream) {
         const auto& domain = upstream->registration.failure_domain;
         return std::find(unreachable.begin(), unreachable.end(), domain) ==
                unreachable.end();
     };
-    const auto covered_shards =
-        std::count_if(route.shards.begin(), route.shards.end(),
-                      [&](const std::string& shard) {
-                          const auto ready = directory.find_ready(shard);
-                          return std::any_of(ready.begin(), ready.end(),
-                                             is_reachable_upstream);
-                      });
+    const auto covered_shards = std::count_if(
+        route.shards.begin(), route.shards.end(),
+        [&](const std::string& shard) {
+            const auto ready = directory.find_ready(shard);
+            return std::any_of(ready.begin(), ready.end(), is_reachable);
+        });
     return route.has_min_coverage(static_cast<std::size_t>(covered_shards));
 }
 
--- a/packages/policy/tests/domain_reach_test.cpp
+++ b/packages/policy/tests/domain_reach_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <tamarackhoist/policy/domain_reach.hpp>
 
@@ -61,6 +62,26 @@
         }
     }
 
+    [[nodiscard]] bool is_reachable(const std::string& domain,
+                                    runtime::time_point at) const
+    {
+        const auto lost = reach.unreachable_domains(at);
+        return std::find(lost.begin(), lost.end(), domain) == lost.end();
+    }
+
+    /// Pings four times a second for `duration`. Returns the domains that the
+    /// last call named.
+    std::vector<std::string> ping(runtime::duration duration)
+    {
+        std::vector<std::string> domains;
+        const auto end = now + duration;
+        while (now < end) {
+            now += 250ms;
+            domains = reach.domains_to_ping(now);
+        }
+        return domains;
+    }
+
     [[nodiscard]] bool can_cover() const
     {
         return reach.can_cover(route, directory, now);
@@ -80,7 +101,7 @@
     node.record_misses({"b", "c", "d"}, 600ms);
     cr_assert(!node.can_cover(), "only two of four shards are reachable");
     cr_assert(node.reach.is_in_minority(node.now));
-    cr_assert(node.reach.is_reachable("a", node.now));
+    cr_assert(node.is_reachable("a", node.now));
     // The first messages after the partition heals restore reachability.
     node.record_contact_with_all();
     cr_assert(node.can_cover());
@@ -93,7 +114,7 @@
 {
     domain_reach_fixture node;
     node.record_misses({"c"}, 600ms);
-    cr_assert(!node.reach.is_reachable("c", node.now));
+    cr_assert(!node.is_reachable("c", node.now));
     cr_assert(node.can_cover());
     cr_assert(!node.reach.is_in_minority(node.now));
     node.directory.remove("s1b", 1, node.now);
@@ -136,21 +157,80 @@
 }
 
 /// The nodes of a lost domain may be dead while its upstreams are alive. One
-/// probe a second is allowed, and without further failures the domain counts
-/// as reachable after eight seconds.
+/// probe a second is allowed after the loss began, and without further failures
+/// the domain counts as reachable after eight seconds.
 void a_lost_domain_is_probed_again()
 {
     domain_reach_fixture node;
     node.record_misses({"b"}, 600ms);
-    cr_assert(!node.reach.is_reachable("b", node.now + 7s));
-    cr_assert(node.reach.is_reachable("b", node.now + 8s));
-    cr_assert(node.reach.try_start_probe(node.now));
-    cr_assert(!node.reach.try_start_probe(node.now + 900ms));
-    cr_assert(node.reach.try_start_probe(node.now + 1s));
+    cr_assert(!node.is_reachable("b", node.now + 7s));
+    cr_assert(node.is_reachable("b", node.now + 8s));
+    const auto first_probe_at = node.now + 400ms;
+    cr_assert(!node.reach.try_start_probe(first_probe_at - 1ms));
+    cr_assert(node.reach.try_start_probe(first_probe_at));
+    cr_assert(!node.reach.try_start_probe(first_probe_at + 900ms));
+    cr_assert(node.reach.try_start_probe(first_probe_at + 1s));
     // A single failed probe makes the domain unreachable again.
     node.now += 9s;
     node.reach.record_missed_contact("b", node.now);
-    cr_assert(!node.reach.is_reachable("b", node.now));
+    cr_assert(!node.is_reachable("b", node.now));
+}
+
+/// A failure domain of 22 nodes is cut off, and its callers send 15 requests a
+/// second. If each node sent one probe a second, all requests would be probes
+/// that time out.
+void many_nodes_share_the_rate_of_probes()
+{
+    constexpr int nodes = 22;
+    std::vector<domain_reach_fixture> fleet(nodes);
+    for (auto& node : fleet) {
+        node.reach.set_own_domain_nodes(nodes);
+        node.record_misses({"b", "c", "d"}, 600ms);
+    }
+    int probes = 0;
+    for (int request = 0; request < 6 * 15; ++request) {
+        const auto at = fleet.front().now + request * 66ms;
+        auto& node = fleet[static_cast<std::size_t>(request) % nodes];
+        probes += node.reach.try_start_probe(at) ? 1 : 0;
+    }
+    cr_assert_leq(probes, 6);
+}
+
+/// A node of a large fleet gets less than one request a second. One failed
+/// contact has to be enough to find out soon that the domain is lost.
+void a_loss_is_noticed_with_few_requests()
+{
+    domain_reach_fixture node;
+    for (const auto* domain : {"b", "c", "d"}) {
+        node.reach.record_missed_contact(domain, node.now);
+    }
+    cr_assert(node.can_cover());
+    cr_assert(node.ping(1s) == (std::vector<std::string>{"b", "c", "d"}));
+    cr_assert(!node.can_cover());
+    cr_assert(node.reach.is_in_minority(node.now));
+}
+
+/// One relay was killed; the other nodes of its domain answer the pings.
+void an_answered_ping_ends_the_suspicion()
+{
+    domain_reach_fixture node;
+    node.reach.record_missed_contact("b", node.now);
+    cr_assert(node.ping(250ms) == (std::vector<std::string>{"b"}));
+    node.reach.record_contact("b");
+    cr_assert(node.ping(5s).empty());
+    cr_assert(node.is_reachable("b", node.now));
+}
+
+/// All nodes of a domain are dead while its upstreams are alive: pings without
+/// an answer must not keep it lost.
+void pings_do_not_prolong_a_loss()
+{
+    domain_reach_fixture node;
+    node.record_misses({"b"}, 600ms);
+    cr_assert(node.ping(7s) == (std::vector<std::string>{"b"}));
+    cr_assert(!node.is_reachable("b", node.now));
+    cr_assert(node.ping(2s).empty());
+    cr_assert(node.is_reachable("b", node.now));
 }
 
 /// While the whole fleet starts, domains that were never heard from must not
@@ -190,6 +270,22 @@
 {
     a_lost_domain_is_probed_again();
 }
+Test(domain_reach, shared_probes)
+{
+    many_nodes_share_the_rate_of_probes();
+}
+Test(domain_reach, few_requests)
+{
+    a_loss_is_noticed_with_few_requests();
+}
+Test(domain_reach, answered_ping)
+{
+    an_answered_ping_ends_the_suspicion();
+}
+Test(domain_reach, dead_nodes)
+{
+    pings_do_not_prolong_a_loss();
+}
 Test(domain_reach, fleet_start)
 {
     an_unknown_domain_does_not_count_as_lost();
