peers: Take back a cut-off node's failures when the partition heals

Ruled out: real failures (no member outside had stopped); a longer suspicion timeout, which only delays the same.

Change: a node that reaches less than half of the failure domains gossips the failures of other domains only within its own, and takes them back once a member that it declared dead sends a message. A suspicion counts as a hint that the domain is lost, which pings confirm: before, a node with few requests never noticed that it was cut off. A process that starts during the cut ignores dead members that it never knew.

--- a/packages/node/include/tamarackhoist/node/peer_group.hpp
+++ b/packages/node/include/tamarackhoist/node/peer_group.hpp
@@ -31,6 +31,10 @@
         /// Called for each gossip message, with the failure domain of its
         /// sender.
         std::function<void(std::string_view failure_domain)> on_gossip_received;
+        /// Called when a member becomes suspect, with its failure domain; may
+        /// be empty.
+        std::function<void(std::string_view failure_domain)> on_suspected =
+            nullptr;
     };
 
     /// Listens on the address of `self`. An error text contains that address.
@@ -51,6 +55,12 @@
         membership_.ping_domain(failure_domain);
     }
 
+    /// Sets whether this node reaches less than half of the failure domains.
+    void set_in_minority(bool is_in_minority)
+    {
+        membership_.set_in_minority(is_in_minority, clock_.now());
+    }
+
     /// Returns the members that are alive or suspect, except this node.
     [[nodiscard]] std::vector<peers::member> live_peers() const;
 
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -330,6 +330,13 @@
             .on_gossip_received =
                 [this](std::string_view failure_domain) {
                     health_.reach().record_contact(failure_domain);
+                },
+            // A hint that the whole domain may be lost, which pings then
+            // confirm. It also reaches nodes that get few requests.
+            .on_suspected =
+                [this](std::string_view failure_domain) {
+                    health_.reach().record_missed_contact(failure_domain,
+                                                          clock_.now());
                 }};
 }
 
--- a/packages/node/src/health_monitor.cpp
+++ b/packages/node/src/health_monitor.cpp
@@ -49,6 +49,7 @@
     for (const auto& domain : reach_.domains_to_ping(clock_.now())) {
         peers_->ping_domain(domain);
     }
+    peers_->set_in_minority(reach_.is_in_minority(clock_.now()));
     const auto lost = reach_.unreachable_domains(clock_.now());
     update_lost_domains({lost.begin(), lost.end()});
     const auto due_at = clock_.now() + check_interval;
--- a/packages/node/src/peer_group.cpp
+++ b/packages/node/src/peer_group.cpp
@@ -80,8 +80,11 @@
     hooks.on_change = [this] {
         on_members_changed();
     };
-    hooks.on_transition = [](const member& subject,
-                             member_state previous_state) {
+    hooks.on_transition = [this](const member& subject,
+                                 member_state previous_state) {
+        if (subject.state == member_state::suspect && hooks_.on_suspected) {
+            hooks_.on_suspected(subject.failure_domain);
+        }
         runtime::log_line(event_for_state(subject.state))
             .add("member", subject.name)
             .add("failure_domain", subject.failure_domain)
--- a/packages/peers/include/tamarackhoist/peers/membership.hpp
+++ b/packages/peers/include/tamarackhoist/peers/membership.hpp
@@ -100,6 +100,14 @@
     /// failure of others.
     void on_resumed(runtime::time_point now);
 
+    /// Sets whether this node reaches less than half of the failure domains, so
+    /// that it rather than the members of the others may be cut off. Failures
+    /// of those members are doubtful then: they are gossiped only within this
+    /// node's own domain, and are taken back once a member that was declared
+    /// dead sends a message. Otherwise each healed partition would spread the
+    /// minority's view, in which most of the fleet is dead.
+    void set_in_minority(bool is_in_minority, runtime::time_point now);
+
     /// Announces to all peers that this node accepts no new work.
     void leave(runtime::time_point now);
 
@@ -131,6 +139,8 @@
         runtime::time_point changed_at;
         /// Number of times that this record is still to be gossiped.
         std::uint32_t remaining_sends = 0;
+        /// Whether the failure was declared while this node was in a minority.
+        bool is_doubtful = false;
     };
     struct probe {
         member target;
@@ -165,7 +175,20 @@
     void ping_random_peers();
     void on_ack(std::uint64_t sequence, runtime::time_point now);
     [[nodiscard]] std::optional<member> next_probe_target();
-    [[nodiscard]] std::vector<member> next_updates();
+    /// Returns the updates to send to `target`.
+    [[nodiscard]] std::vector<member>
+    next_updates(const transport::endpoint& target);
+    [[nodiscard]] bool is_remote(const member& other) const;
+    [[nodiscard]] bool is_remote(const transport::endpoint& target) const;
+    /// Records that a member's state has changed, and who is to learn of it.
+    void record_change(peer_record& peer, runtime::time_point now);
+    /// Returns whether `update` repeats a failure that this node took back a
+    /// moment ago.
+    [[nodiscard]] bool repeats_doubt(const member& update,
+                                     runtime::time_point now) const;
+    /// Takes back the doubtful failures in the domain of a sender that was
+    /// declared dead.
+    void take_back_failures(const member& sender, runtime::time_point now);
     [[nodiscard]] std::uint32_t sends_per_update() const;
     [[nodiscard]] static bool is_live(const member& peer);
 
@@ -190,6 +213,13 @@
     runtime::time_point last_exchange_at_;
     std::size_t peer_count_at_exchange_ = 0;
     digest_summary digest_;
+    bool is_in_minority_ = false;
+    /// Until this time after a minority has ended, failures are doubtful still.
+    runtime::time_point doubts_until_;
+    /// Whether a member may have `peer_record::is_doubtful` set.
+    bool has_doubtful_members_ = false;
+    /// Until this time, failures that were taken back are not believed again.
+    runtime::time_point taken_back_until_;
 };
 
 } // namespace tamarackhoist::peers
--- a/packages/peers/src/membership.cpp
+++ b/packages/peers/src/membership.cpp
@@ -271,7 +271,7 @@
     message.sequence = sequence;
     message.sender = self_;
     message.subject = std::move(subject);
-    message.updates = next_updates();
+    message.updates = next_updates(target);
     message.digest = digest_;
     for (auto& [upstream, drain] : drains_) {
         if (drain.remaining_sends == 0 ||
@@ -290,13 +290,15 @@
     return settings_.sends_per_doubling * static_cast<std::uint32_t>(doublings);
 }
 
-std::vector<member> membership::next_updates()
+std::vector<member> membership::next_updates(const transport::endpoint& target)
 {
+    const bool skips_doubtful = has_doubtful_members_ && is_remote(target);
     std::vector<peer_record*> pending;
     for (auto& [name, peer] : peers_) {
-        if (peer.remaining_sends > 0) {
-            pending.push_back(&peer);
+        if (peer.remaining_sends == 0 || (skips_doubtful && peer.is_doubtful)) {
+            continue;
         }
+        pending.push_back(&peer);
     }
     // Updates that were sent least often go first.
     const auto count =
@@ -315,9 +317,11 @@
     if (updates.size() < settings_.max_updates_per_message && !peers_.empty()) {
         auto position = std::uniform_int_distribution<std::size_t>(
             0, peers_.size() - 1)(random_);
-        const auto chosen =
-            std::next(peers_.begin(), static_cast<long>(position));
-        updates.push_back(chosen->second.description);
+        const auto& chosen =
+            std::next(peers_.begin(), static_cast<long>(position))->second;
+        if (!skips_doubtful || !chosen.is_doubtful) {
+            updates.push_back(chosen.description);
+        }
     }
     return updates;
 }
@@ -329,6 +333,7 @@
         message.sender.endpoint == self_.endpoint) {
         return;
     }
+    take_back_failures(message.sender, now);
     apply(message.sender, now);
     for (const auto& update : message.updates) {
         apply(update, now);
@@ -395,24 +400,26 @@
     }
     const auto found = peers_.find(update.name);
     if (found == peers_.end()) {
+        // A node that starts while it is cut off hears from its peers that the
+        // others are dead, and must not pass that on when the partition heals.
+        if (!is_live(update)) {
+            return;
+        }
         auto& added = peers_[update.name];
         added.description = update;
         added.changed_at = now;
         added.remaining_sends = sends_per_update();
-        if (is_live(update)) {
-            hooks_.on_transition(update, member_state::dead);
-            hooks_.on_change();
-        }
+        hooks_.on_transition(update, member_state::dead);
+        hooks_.on_change();
         return;
     }
     auto& known = found->second;
-    if (!supersedes(update, known.description)) {
+    if (!supersedes(update, known.description) || repeats_doubt(update, now)) {
         return;
     }
     const auto before = known.description;
     known.description = update;
-    known.changed_at = now;
-    known.remaining_sends = sends_per_update();
+    record_change(known, now);
     if (before.state != update.state) {
         hooks_.on_transition(update, before.state);
     }
@@ -451,8 +458,7 @@
 {
     const auto before = peer.description.state;
     peer.description.state = state;
-    peer.changed_at = now;
-    peer.remaining_sends = sends_per_update();
+    record_change(peer, now);
     hooks_.on_transition(peer.description, before);
     hooks_.on_change();
     // Ownership of the member's upstreams moves only when other nodes learn of
--- a/packages/peers/tests/membership_test.cpp
+++ b/packages/peers/tests/membership_test.cpp
@@ -42,7 +42,9 @@
         };
         hooks.on_change = [] {
         };
-        hooks.on_transition = [](const peers::member&, member_state) {
+        hooks.on_transition = [this, number](const peers::member& subject,
+                                             member_state) {
+            deaths_seen[number] += subject.state == member_state::dead ? 1 : 0;
         };
         hooks.on_digest_mismatch = [](const peers::member&,
                                       const peers::digest_summary&) {
@@ -80,6 +82,8 @@
     std::map<std::size_t, std::unique_ptr<peers::membership>> nodes;
     std::map<std::size_t, bool> is_paused;
     std::map<std::size_t, bool> is_partitioned;
+    /// Number of members that each node has declared dead or heard were dead.
+    std::map<std::size_t, int> deaths_seen;
     runtime::virtual_scheduler scheduler;
     /// Size of the largest datagram sent.
     std::size_t max_sent_bytes = 0;
@@ -199,6 +203,69 @@
     cr_assert(fleet.all_see_live_nodes(8));
 }
 
+/// One of four failure domains is cut off for some seconds and declares most of
+/// the others dead. When the partition heals, the others must not believe that:
+/// they would lose most of their peers until each has refuted.
+void a_healed_minority_does_not_spread_its_view()
+{
+    constexpr std::size_t count = 48;
+    member_fleet fleet(count, 0.01);
+    fleet.run(10s);
+    cr_assert(fleet.all_see_live_nodes(count));
+    const auto set_partitioned = [&](bool is_partitioned) {
+        for (std::size_t number = 0; number < count; number += 4) {
+            fleet.is_partitioned[number] = is_partitioned;
+        }
+    };
+    const auto set_in_minority = [&](bool is_in_minority) {
+        for (std::size_t number = 0; number < count; number += 4) {
+            fleet.nodes[number]->set_in_minority(is_in_minority,
+                                                 fleet.scheduler.now());
+        }
+    };
+    set_partitioned(true);
+    fleet.run(1500ms);
+    set_in_minority(true);
+    fleet.run(6s);
+    cr_assert_gt(fleet.deaths_seen[0], 20);
+    // A process that starts now does not know that it is cut off.
+    fleet.nodes.erase(4);
+    fleet.add(4, 2);
+    fleet.run(1s);
+    fleet.deaths_seen.clear();
+    set_partitioned(false);
+    fleet.run(500ms);
+    set_in_minority(false);
+    fleet.run(4s);
+    int deaths = 0;
+    for (std::size_t number = 0; number < count; ++number) {
+        deaths += number % 4 == 0 ? 0 : fleet.deaths_seen[number];
+    }
+    // The members of the minority were rightly declared dead; a late record of
+    // that may still arrive.
+    cr_assert_leq(deaths, 36, "%d deaths", deaths);
+    cr_assert(fleet.all_see_live_nodes(count));
+}
+
+/// A member that dies during the partition stays dead for the healed side.
+void a_death_during_the_partition_is_known_afterwards()
+{
+    member_fleet fleet(16, 0.01);
+    fleet.run(5s);
+    for (std::size_t number = 0; number < 16; number += 4) {
+        fleet.is_partitioned[number] = true;
+        fleet.nodes[number]->set_in_minority(true, fleet.scheduler.now());
+    }
+    fleet.nodes.erase(5);
+    fleet.run(8s);
+    for (std::size_t number = 0; number < 16; number += 4) {
+        fleet.is_partitioned[number] = false;
+        fleet.nodes[number]->set_in_minority(false, fleet.scheduler.now());
+    }
+    fleet.run(10s);
+    cr_assert(fleet.all_see_live_nodes(15));
+}
+
 void restarted_member_is_counted_once()
 {
     member_fleet fleet(6, 0.01);
@@ -299,6 +366,14 @@
 
 } // namespace
 
+Test(membership, healed_minority)
+{
+    a_healed_minority_does_not_spread_its_view();
+}
+Test(membership, death_during_partition)
+{
+    a_death_during_the_partition_is_known_afterwards();
+}
 Test(membership, dead_member)
 {
     dead_member_is_detected_within_three_seconds();
