--- a/packages/replay/include/tamarackhoist/replay/simulated_node.hpp
+++ b/packages/replay/include/tamarackhoist/replay/simulated_node.hpp
@@ -57,7 +57,6 @@
     }
     [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
     [[nodiscard]] policy::node_id id() const { return id_; }
-    [[nodiscard]] policy::pause_guard& guard() { return guard_; }
 
     /// Closes all connections to upstreams, as the end of the process does.
     void close_connections();
