peers: Keep failures doubtful that are declared after the first was taken back

Cause, found on reading the diff: the flag that skips doubtful members when gossiping to other domains was cleared with the last of them, and a failure declared or heard a moment later, still in the time of doubt, was gossiped.

Change: recording a doubtful failure sets the flag.

--- a/packages/peers/src/membership_minority.cpp
+++ b/packages/peers/src/membership_minority.cpp
@@ -46,11 +46,11 @@
     if (!is_in_minority) {
         return;
     }
-    has_doubtful_members_ = true;
     for (auto& [name, peer] : peers_) {
         peer.is_doubtful = is_failure(peer.description) &&
                            is_remote(peer.description) &&
                            now - peer.changed_at <= doubt_before_minority;
+        has_doubtful_members_ = has_doubtful_members_ || peer.is_doubtful;
     }
 }
 
@@ -61,6 +61,7 @@
     const bool doubts_itself = is_in_minority_ || now < doubts_until_;
     peer.is_doubtful = doubts_itself && is_failure(peer.description) &&
                        is_remote(peer.description);
+    has_doubtful_members_ = has_doubtful_members_ || peer.is_doubtful;
 }
 
 bool membership::repeats_doubt(const member& update,
