peers: State once which failures concern other failure domains

Cause: the rule (a suspect or dead member of another domain) stood in three places of membership_minority, and next_probe_target compared the domains itself beside is_remote.

Change: is_remote_failure holds the rule, and next_probe_target calls is_remote. No change of behaviour.

--- a/packages/peers/include/tamarackhoist/peers/membership.hpp
+++ b/packages/peers/include/tamarackhoist/peers/membership.hpp
@@ -180,6 +180,7 @@
     next_updates(const transport::endpoint& target);
     [[nodiscard]] bool is_remote(const member& other) const;
     [[nodiscard]] bool is_remote(const transport::endpoint& target) const;
+    [[nodiscard]] bool is_remote_failure(const member& other) const;
     /// Records that a member's state has changed, and who is to learn of it.
     void record_change(peer_record& peer, runtime::time_point now);
     /// Returns whether `update` repeats a failure that this node took back a
--- a/packages/peers/src/membership.cpp
+++ b/packages/peers/src/membership.cpp
@@ -89,8 +89,7 @@
         if (found == peers_.end()) {
             return false;
         }
-        const auto& domain = found->second.description.failure_domain;
-        return (domain != self_.failure_domain) == is_remote_probe;
+        return is_remote(found->second.description) == is_remote_probe;
     };
     auto chosen = std::ranges::find_if(probe_order_, is_eligible);
     if (chosen == probe_order_.end()) {
--- a/packages/peers/src/membership_minority.cpp
+++ b/packages/peers/src/membership_minority.cpp
@@ -15,12 +15,6 @@
 /// Time in which the other nodes of the domain take back their failures, too.
 constexpr runtime::duration take_back_time = std::chrono::seconds(2);
 
-bool is_failure(const member& subject)
-{
-    return subject.state == member_state::suspect ||
-           subject.state == member_state::dead;
-}
-
 } // namespace
 
 bool membership::is_remote(const member& other) const
@@ -36,6 +30,13 @@
     return found == peers_.end() || is_remote(found->second.description);
 }
 
+bool membership::is_remote_failure(const member& other) const
+{
+    const bool has_failed = other.state == member_state::suspect ||
+                            other.state == member_state::dead;
+    return has_failed && is_remote(other);
+}
+
 void membership::set_in_minority(bool is_in_minority, runtime::time_point now)
 {
     if (is_in_minority == is_in_minority_) {
@@ -47,8 +48,7 @@
         return;
     }
     for (auto& [name, peer] : peers_) {
-        peer.is_doubtful = is_failure(peer.description) &&
-                           is_remote(peer.description) &&
+        peer.is_doubtful = is_remote_failure(peer.description) &&
                            now - peer.changed_at <= doubt_before_minority;
         has_doubtful_members_ = has_doubtful_members_ || peer.is_doubtful;
     }
@@ -59,15 +59,14 @@
     peer.changed_at = now;
     peer.remaining_sends = sends_per_update();
     const bool doubts_itself = is_in_minority_ || now < doubts_until_;
-    peer.is_doubtful = doubts_itself && is_failure(peer.description) &&
-                       is_remote(peer.description);
+    peer.is_doubtful = doubts_itself && is_remote_failure(peer.description);
     has_doubtful_members_ = has_doubtful_members_ || peer.is_doubtful;
 }
 
 bool membership::repeats_doubt(const member& update,
                                runtime::time_point now) const
 {
-    return now < taken_back_until_ && is_failure(update) && is_remote(update);
+    return now < taken_back_until_ && is_remote_failure(update);
 }
 
 void membership::take_back_failures(const member& sender,
