review: Keep two cases inside the limits of the site

Cause: case 1 used connections after up to 12.2 s of idleness, where 12 s are the limit, and the burst of case 5 was stronger than any of its site.

Change: case 1 has a shorter steady part; case 5 has a burst of 2.2 for 6 s at a load of 90 %.

--- a/review/stand_ins/draining_queue.cpp
+++ b/review/stand_ins/draining_queue.cpp
@@ -14,8 +14,8 @@
 /// The backend leaves this long after `drainMs`.
 constexpr int leave_after_ms = 600;
 constexpr int deadline_ms = 4000;
-constexpr double steady_per_second = 33;
-constexpr double burst_factor = 2.6;
+constexpr double steady_per_second = 40;
+constexpr double burst_factor = 2.2;
 constexpr int steady_ms = 5000;
 constexpr int burst_ms = 6000;
 constexpr int drain_after_burst_began_ms = 5000;
--- a/review/stand_ins/shutdown_queue.cpp
+++ b/review/stand_ins/shutdown_queue.cpp
@@ -17,7 +17,7 @@
 constexpr double capacity_per_second = 4 * 1000.0 / work_ms;
 /// Load in steady state, as a fraction of that.
 constexpr double load = 1.6;
-constexpr int steady_ms = 8000;
+constexpr int steady_ms = 6500;
 constexpr int kept_connections = 20;
 /// When requests are sent on the kept connections, after the SIGTERM.
 constexpr int kept_delay_ms = 2250;
