--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -76,8 +76,9 @@
 
 using news_result = runtime::result<news_batch, store_error>;
 
-/// Client functions of the store. Each calls its handler once. A new call
-/// replaces a pending one.
+/// Client functions of the store. Each calls its handler once, within a bounded
+/// time. A new call replaces a pending one, whose handler then reports that the
+/// store is unavailable.
 struct store_calls {
     using handler = std::function<void(news_result)>;
     /// Reads the page of items after the key `after`; empty for the first page.
--- a/packages/transport/include/tamarackhoist/transport/http_connection.hpp
+++ b/packages/transport/include/tamarackhoist/transport/http_connection.hpp
@@ -50,7 +50,9 @@
 
     using exchange_handler = std::function<void(exchange_result)>;
     /// Sends `request` and calls `handle` once with the result. The exchange
-    /// ends as `broken` if it takes longer than `timeout`.
+    /// ends as `broken` if it takes longer than `timeout`. While another
+    /// exchange is pending, it ends as `not_sent`: both would share the timeout
+    /// of the connection, and the end of one would take it away from the other.
     void exchange(http_request request, runtime::duration timeout,
                   exchange_handler handle);
 
@@ -61,6 +63,8 @@
     void close();
 
     [[nodiscard]] bool is_open() const { return is_open_; }
+    /// Whether the connection is open and no exchange is pending on it.
+    [[nodiscard]] bool is_idle() const { return is_open_ && !is_busy_; }
 
 private:
     /// Whether the idle connection was closed by the peer or received data,
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -73,6 +74,12 @@
 void http_connection::exchange(http_request request, runtime::duration timeout,
                                exchange_handler handle)
 {
+    if (is_busy_) {
+        asio::post(executor_, [handle = std::move(handle)] {
+            handle({exchange_status::not_sent, {}});
+        });
+        return;
+    }
     is_busy_ = true;
     auto self = shared_from_this();
     asio::co_spawn(
--- a/packages/transport/tests/http_connection_test.cpp
+++ b/packages/transport/tests/http_connection_test.cpp
@@ -133,6 +133,23 @@
     cr_assert(!fixture.connection->is_open());
 }
 
+/// Two pending exchanges would share one timeout, which the end of the first
+/// takes away: the second one might never end.
+void a_second_exchange_is_not_sent_while_one_is_pending()
+{
+    connection_fixture fixture;
+    fixture.send_request();
+    std::optional<exchange_result> second;
+    fixture.connection->exchange(
+        transport::http_request(http::verb::get, "/second", 11),
+        exchange_timeout,
+        [&](const exchange_result& ended) { second = ended; });
+    fixture.respond(make_response("one"));
+    cr_assert(second.has_value());
+    cr_assert(second->status == exchange_status::not_sent);
+    cr_assert_eq(fixture.result->response.body(), "one");
+}
+
 void endless_responses_are_rejected()
 {
     const std::string chunked =
@@ -175,6 +192,10 @@
 {
     an_interim_response_ends_the_connection();
 }
+Test(http_connection, second_exchange)
+{
+    a_second_exchange_is_not_sent_while_one_is_pending();
+}
 Test(http_connection, endless)
 {
     endless_responses_are_rejected();
