node: Answer every request before a planned stop ends

Cause: gateway::continue_shutdown stopped the event loop 300 ms before the end of the grace period, with requests still in the queues of forward_pool. Ruled out: the callers' side (answers were written when there were any) and the deadlines (the requests had time left).

Change: policy::shutdown_schedule divides the grace period. At the end, forward_coordinator::end_early answers what is left with what is known of it. E108 says when sending stops and what is open.

--- a/packages/node/include/tamarackhoist/node/forwarding.hpp
+++ b/packages/node/include/tamarackhoist/node/forwarding.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <tamarackhoist/callers/forward_exchange.hpp>
 #include <tamarackhoist/node/forward_fields.hpp>
 #include <tamarackhoist/node/relay_client.hpp>
@@ -18,6 +19,8 @@
 namespace tamarackhoist::node
 {
 
+class forwarded_request;
+
 /// State and services that all forwarded requests of a node share. Must be
 /// used only on the thread that runs `io_context`.
 struct forwarding {
@@ -37,6 +40,9 @@
         find_pool;
     /// Null for a node without peers.
     relay_client* relays = nullptr;
+    /// Requests that exist, including those that have ended and whose last
+    /// handlers are still to be called.
+    std::set<forwarded_request*> requests;
 };
 
 /// Forwards one request and answers it. `routes` is the table that contains
@@ -46,6 +52,9 @@
              const policy::route& route,
              std::shared_ptr<callers::forward_exchange> exchange);
 
+/// Answers every open request with what is known of it, because the node stops.
+void end_requests(const forwarding& shared);
+
 /// Returns a 503 answer, which promises that the request was not executed,
 /// with a randomised Retry-After of 0.1 to 0.3 seconds.
 [[nodiscard]] callers::forward_answer make_not_executed_answer();
--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -17,6 +17,7 @@
 #include <tamarackhoist/node/store_sync.hpp>
 #include <tamarackhoist/node/upstream_pools.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
+#include <tamarackhoist/policy/shutdown_schedule.hpp>
 #include <tamarackhoist/transport/http_server.hpp>
 
 namespace tamarackhoist::node
@@ -91,6 +92,7 @@
     void arm_expiry();
     void set_gauges();
     void continue_shutdown();
+    void stop_sending();
     void log_first_readiness();
 
     const gateway_settings settings_;
@@ -116,7 +118,10 @@
     std::shared_ptr<transport::http_server> metrics_server_;
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer shutdown_timer_;
+    const policy::shutdown_schedule shutdown_schedule_;
     std::optional<runtime::time_point> shutdown_at_;
+    /// Set when nothing more is sent to upstreams, because the node stops.
+    bool is_sending_stopped_ = false;
     bool has_snapshot_ = false;
     bool was_ready_ = false;
 };
--- a/packages/node/include/tamarackhoist/node/upstream_pools.hpp
+++ b/packages/node/include/tamarackhoist/node/upstream_pools.hpp
@@ -44,6 +44,10 @@
     /// Retires the pool of an upstream.
     void close(const policy::registered_upstream& upstream);
 
+    /// Retires all pools and opens no further ones: this node sends nothing
+    /// more to any upstream.
+    void stop();
+
     /// Returns the pool of an upstream, or nullptr if there is none.
     [[nodiscard]] std::shared_ptr<upstreams::forward_pool>
     find(std::string_view upstream) const;
@@ -86,6 +90,7 @@
     node_counts nodes_by_domain_;
     std::size_t node_count_ = 1;
     bool uses_relays_ = false;
+    bool is_stopped_ = false;
     std::map<std::string, std::shared_ptr<upstreams::forward_pool>, std::less<>>
         pools_;
 };
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -62,6 +62,19 @@
         ->start();
 }
 
+void end_requests(const forwarding& shared)
+{
+    // Answering a request may destroy others, which then leave the set.
+    std::vector<std::shared_ptr<forwarded_request>> requests;
+    requests.reserve(shared.requests.size());
+    for (auto* each : shared.requests) {
+        requests.push_back(each->shared_from_this());
+    }
+    for (const auto& each : requests) {
+        each->end_early();
+    }
+}
+
 forwarded_request::forwarded_request(
     std::shared_ptr<forwarding> shared,
     std::shared_ptr<const policy::routing_table> routes,
@@ -75,6 +88,12 @@
       wake_timer_(shared_->io_context), relay_timer_(shared_->io_context),
       answers_(route_.shards.size())
 {
+    shared_->requests.insert(this);
+}
+
+forwarded_request::~forwarded_request()
+{
+    shared_->requests.erase(this);
 }
 
 policy::forward_times forwarded_request::compute_times() const
@@ -134,6 +153,12 @@
     apply_decisions();
 }
 
+void forwarded_request::end_early()
+{
+    coordinator_->end_early(shared_->clock.now());
+    apply_decisions();
+}
+
 void forwarded_request::apply_decisions()
 {
     flush_cancellations();
--- a/packages/node/src/forwarded_request.hpp
+++ b/packages/node/src/forwarded_request.hpp
@@ -24,8 +24,13 @@
                       std::shared_ptr<const policy::routing_table> routes,
                       const policy::route& route,
                       std::shared_ptr<callers::forward_exchange> exchange);
+    ~forwarded_request();
+    forwarded_request(const forwarded_request&) = delete;
+    forwarded_request& operator=(const forwarded_request&) = delete;
 
     void start();
+    /// Answers with what is known of the request, because the node stops.
+    void end_early();
 
 private:
     /// An attempt that was sent, to an upstream's pool or through a relay.
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -18,11 +18,6 @@
 namespace
 {
 
-/// Time after SIGTERM in which the load balancer may still open connections:
-/// it checks readiness once a second and removes a node after two failures.
-constexpr duration balancer_lag = 2500ms;
-/// The shutdown ends this long before the process would be killed.
-constexpr duration shutdown_margin = 300ms;
 constexpr duration shutdown_check_interval = 50ms;
 /// Divides the memory of the process into the part that unfinished responses
 /// of upstreams may hold.
@@ -78,7 +73,8 @@
       decode_(std::move(platform_adapter.decode)),
       relay_client_(settings_.failure_domain, to_millicores(settings_.cores),
                     incarnation, clock_, health_.reach()),
-      expiry_timer_(io_context_), shutdown_timer_(io_context_)
+      expiry_timer_(io_context_), shutdown_timer_(io_context_),
+      shutdown_schedule_(settings_.shutdown_grace)
 {
     forwarding_ = std::make_shared<forwarding>(forwarding{
         io_context_, clock_, std::move(platform_adapter.fields),
@@ -163,14 +159,22 @@
 
 void gateway::continue_shutdown()
 {
-    const auto elapsed = clock_.now() - *shutdown_at_;
-    if (elapsed >= balancer_lag) {
+    using policy::shutdown_phase;
+    const auto phase =
+        shutdown_schedule_.phase_at(clock_.now() - *shutdown_at_);
+    if (phase >= shutdown_phase::forwarding) {
         callers_->close_idle();
     }
-    const bool is_done = elapsed >= balancer_lag &&
-                         callers_->requests_in_flight() == 0 &&
+    if (phase >= shutdown_phase::awaiting_answers) {
+        stop_sending();
+    }
+    if (phase >= shutdown_phase::ending_requests) {
+        end_requests(*forwarding_);
+    }
+    const bool is_idle = callers_->requests_in_flight() == 0 &&
                          relay_server_->open_call_count() == 0;
-    if (is_done || elapsed >= settings_.shutdown_grace - shutdown_margin) {
+    if (phase == shutdown_phase::over ||
+        (is_idle && phase > shutdown_phase::accepting)) {
         io_context_.stop();
         return;
     }
@@ -182,6 +186,17 @@
     });
 }
 
+void gateway::stop_sending()
+{
+    if (std::exchange(is_sending_stopped_, true)) {
+        return;
+    }
+    runtime::log_line(event_number::node_stops_sending)
+        .add("requests", callers_->requests_in_flight())
+        .add("relayed_calls", relay_server_->open_call_count());
+    pools_.stop();
+}
+
 bool gateway::is_ready() const
 {
     return routes_ != nullptr && has_snapshot_ && !shutdown_at_ &&
@@ -204,6 +219,10 @@
     std::shared_ptr<callers::forward_exchange> exchange)
 {
     const auto& request = exchange->request();
+    if (is_sending_stopped_) {
+        refuse(*exchange, "the node is stopping");
+        return;
+    }
     if (routes_ == nullptr) {
         refuse(*exchange, "no configuration is known yet");
         return;
--- a/packages/node/src/upstream_pools.cpp
+++ b/packages/node/src/upstream_pools.cpp
@@ -68,6 +68,9 @@
         .add("address", upstream.address + ":" + std::to_string(upstream.port))
         .add("failure_domain", upstream.failure_domain)
         .add("revision", upstream.revision);
+    if (is_stopped_) {
+        return;
+    }
     const upstreams::forward_pool::options options{
         .connection = make_connection_options(upstream),
         .max_connections = [this,
@@ -122,6 +125,14 @@
     pool->retire();
 }
 
+void upstream_pools::stop()
+{
+    is_stopped_ = true;
+    for (const auto& [id, pool] : std::exchange(pools_, {})) {
+        pool->retire();
+    }
+}
+
 std::shared_ptr<upstreams::forward_pool>
 upstream_pools::find(std::string_view upstream) const
 {
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -200,10 +200,12 @@
     }
 
     /// Starts a gateway and returns its index.
-    std::size_t start_gateway(const std::string& name,
-                              const std::string& domain)
+    std::size_t
+    start_gateway(const std::string& name, const std::string& domain,
+                  runtime::duration shutdown_grace = std::chrono::seconds(6))
     {
         gateway_settings settings;
+        settings.shutdown_grace = shutdown_grace;
         settings.name = name;
         settings.failure_domain = domain;
         const auto endpoints = free_endpoints();
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -315,6 +315,53 @@
                  "ordered pie", "the load balancer may still send requests");
 }
 
+/// Guards against a stop that closes the connections of requests that still
+/// wait for an upstream. Those are answered as not executed, and never sent.
+void requests_that_wait_for_an_upstream_are_answered_at_a_stop()
+{
+    gateway_fixture fixture;
+    fixture.add_upstream(
+        "o1", "orders", "a", [](const received_request& received) {
+            std::this_thread::sleep_for(300ms);
+            return make_answer("d", "ordered " + received.body);
+        });
+    auto route = make_order_route();
+    route.timeout = 8000ms;
+    fixture.set_routes(1, {route});
+    const auto gateway = fixture.start_gateway("n", "a", 1500ms);
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    constexpr std::size_t requests = 12;
+    std::vector<std::optional<transport::http_response>> responses(requests);
+    {
+        std::vector<std::jthread> callers;
+        for (std::size_t index = 0; index < requests; ++index) {
+            callers.emplace_back([&, index] {
+                responses[index] = fixture.send_request(
+                    gateway, "/o/1", "r" + std::to_string(index), "cake");
+            });
+        }
+        std::this_thread::sleep_for(100ms);
+        fixture.gateway_at(gateway).shut_down();
+    }
+    std::set<std::string> sent;
+    for (const auto& each : fixture.received_requests()) {
+        sent.insert(each.request_id);
+    }
+    std::size_t not_executed = 0;
+    for (std::size_t index = 0; index < requests; ++index) {
+        const auto& response = responses[index];
+        cr_assert(response.has_value(), "request %zu has no answer", index);
+        if (response->result_int() != 503U) {
+            continue;
+        }
+        ++not_executed;
+        cr_assert(response->find(http::field::retry_after) != response->end());
+        cr_assert(!response->keep_alive());
+        cr_assert(!sent.contains("r" + std::to_string(index)));
+    }
+    cr_assert(not_executed > 0);
+}
+
 /// The error of a gateway that cannot listen names the address.
 void an_error_names_the_address_in_use()
 {
@@ -412,6 +459,10 @@
 {
     one_node_of_a_domain_calls_the_store();
 }
+Test(gateway, queued_at_shutdown)
+{
+    requests_that_wait_for_an_upstream_are_answered_at_a_stop();
+}
 Test(gateway, shutdown)
 {
     a_node_that_shuts_down_answers_pending_requests();
--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -108,6 +108,11 @@
     /// caller has disconnected.
     void abandon(runtime::time_point now);
 
+    /// Ends the request with what is known of it, because the node stops: the
+    /// answers so far if they suffice, otherwise a failure that promises "not
+    /// executed" only if no attempt may have run.
+    void end_early(runtime::time_point now);
+
     [[nodiscard]] runtime::time_point next_wake() const { return next_wake_; }
     [[nodiscard]] bool is_finished() const { return is_finished_; }
     [[nodiscard]] const forward_counts& counts() const { return counts_; }
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -296,6 +296,16 @@
     }
 }
 
+void forward_coordinator::end_early(time_point now)
+{
+    if (is_finished_) {
+        return;
+    }
+    finish(is_coverage_sufficient() ? forward_outcome::partial
+                                    : failure_outcome(),
+           now);
+}
+
 void forward_coordinator::cancel_open_attempts(shard_state& shard,
                                                std::size_t index,
                                                time_point now)
--- a/packages/policy/tests/forward_coordinator_test.cpp
+++ b/packages/policy/tests/forward_coordinator_test.cpp
@@ -154,6 +154,29 @@
     policy::forward_coordinator coordinator;
 };
 
+/// A node that stops has to answer the requests that are open, with the shards
+/// that have answered or with a failure that is true.
+void a_request_that_is_ended_early_gets_what_is_known()
+{
+    node_fixture node(4);
+    request_fixture covered(node, node.fan_out_route(4));
+    covered.answer_first_attempts_except(1);
+    covered.coordinator.end_early(covered.now);
+    cr_assert(covered.outcomes == std::vector{forward_outcome::partial});
+    cr_assert_eq(covered.cancelled.size(), 1U);
+
+    request_fixture uncovered(node, node.fan_out_route(4));
+    uncovered.coordinator.end_early(uncovered.now);
+    cr_assert(uncovered.outcomes == std::vector{forward_outcome::unknown});
+    cr_assert_eq(uncovered.cancelled.size(), 4U);
+
+    request_fixture order(
+        node, node.single_route(policy::repeatability::at_most_once));
+    order.coordinator.end_early(order.now);
+    order.coordinator.end_early(order.now);
+    cr_assert(order.outcomes == std::vector{forward_outcome::unknown});
+}
+
 void answers_from_all_shards_complete_the_request()
 {
     node_fixture node(4);
@@ -485,6 +508,10 @@
 
 } // namespace
 
+Test(forward_coordinator, ended_early)
+{
+    a_request_that_is_ended_early_gets_what_is_known();
+}
 Test(forward_coordinator, not_sent_extra)
 {
     an_extra_attempt_that_was_not_sent_is_refunded();
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -19,6 +19,7 @@
     settings_changed = 105,
     node_overloaded = 106,
     node_caught_up = 107,
+    node_stops_sending = 108,
     caller_request_rejected = 201,
     request_not_complete = 202,
     request_attempted_again = 203,
--- a/packages/runtime/src/event.cpp
+++ b/packages/runtime/src/event.cpp
@@ -21,6 +21,7 @@
     event_description{settings_changed, information, "settings changed"},
     event_description{node_overloaded, warning, "node overloaded"},
     event_description{node_caught_up, information, "node caught up"},
+    event_description{node_stops_sending, information, "node stops sending"},
     event_description{caller_request_rejected, warning,
                       "caller request rejected"},
     event_description{request_not_complete, warning, "request not complete"},
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
@@ -60,8 +60,8 @@
     /// Opens connections until there are `options::warm_connections`.
     void warm();
 
-    /// Closes idle connections now and busy ones after their exchange, and
-    /// fails queued requests as not sent.
+    /// Closes idle connections now and busy ones after their exchange. Queued
+    /// requests, and those of later calls of `send`, end as not sent.
     void retire();
 
     [[nodiscard]] std::size_t connection_count() const
--- a/packages/upstreams/src/forward_pool.cpp
+++ b/packages/upstreams/src/forward_pool.cpp
@@ -28,6 +28,12 @@
                    forward_connection::result_handler handle)
 {
     const auto id = next_exchange_id_++;
+    if (is_retired_) {
+        boost::asio::post(context_, [handle = std::move(handle)] {
+            handle({forward_status::not_sent, {}});
+        });
+        return id;
+    }
     const auto position = std::find_if(waiting_.begin(), waiting_.end(),
                                        [&](const waiting_request& queued) {
                                            return queued.priority > priority;
--- a/packages/upstreams/tests/forward_pool_test.cpp
+++ b/packages/upstreams/tests/forward_pool_test.cpp
@@ -177,6 +177,36 @@
     cr_assert_eq(fixture.pool->connection_count(), 0U);
 }
 
+/// A pool is retired when its upstream leaves or the node stops. What waits in
+/// it must end at once and never be sent, while the running exchange ends in
+/// its own time.
+void a_retired_pool_sends_nothing_more()
+{
+    pool_fixture fixture([](const std::string& header, int) {
+        return scripted_upstream::reply{
+            make_reply(parse_request_id(header), "b")};
+    });
+    fixture.send("running");
+    while (fixture.upstream.requests() == 0) {
+        fixture.context.run_one();
+    }
+    fixture.send("queued");
+    fixture.pool->retire();
+    cr_assert(fixture.ended_ids == std::vector<std::string>{"queued"});
+    cr_assert(fixture.results[0].status == forward_status::not_sent);
+    fixture.run_until(2);
+    fixture.send("late");
+    fixture.run_until(3);
+    for (std::size_t index = 0; index < fixture.results.size(); ++index) {
+        cr_assert(fixture.results[index].status ==
+                  (fixture.ended_ids[index] == "running"
+                       ? forward_status::answered
+                       : forward_status::not_sent));
+    }
+    cr_assert_eq(fixture.upstream.requests(), 1);
+    cr_assert_eq(fixture.pool->connection_count(), 0U);
+}
+
 void a_refused_connection_is_reported_as_not_sent()
 {
     boost::asio::io_context context;
@@ -264,6 +294,10 @@
 {
     a_cancelled_exchange_closes_its_connection();
 }
+Test(forward_pool, retired)
+{
+    a_retired_pool_sends_nothing_more();
+}
 Test(forward_pool, refused)
 {
     a_refused_connection_is_reported_as_not_sent();
