policy: Take over reading the store by the age of its last confirmation

Cause: two limits added up. The reader confirmed for up to 3.2 s after the store's last answer that nothing had changed, and its peers waited 0.9 s and 0.15 s a rank more. Ruled out: the takeover itself (the first answer to the new reader brings the changes within some 20 ms) and lost pushes.

Change: a node takes over when the last confirmation it knows of is older than 60 % of the deadline for news, plus 5 % a rank; a watch is held for 40 % of it. The deadline is the smaller of news_age and the new setting drain_delay. The reader passes each confirmation on at once. A follower that pauses uses the answer to its pending call.

--- a/packages/node/include/tamarackhoist/node/gateway_settings.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway_settings.hpp
@@ -46,6 +46,9 @@
     /// request without a route is answered with 404. Beyond it, the route may
     /// have been added meanwhile, and the request is refused with 503.
     runtime::duration max_configuration_age = std::chrono::seconds(3);
+    /// Time after an upstream has reported that it drains by which this node
+    /// must send it nothing more.
+    runtime::duration drain_delay = std::chrono::seconds(3);
     /// Retries and hedges that a service may receive for each request.
     double extra_attempt_ratio = 0.2;
     /// Retries and hedges that a service may receive in each window in
--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -40,8 +40,8 @@
     };
 
     store_sync(boost::asio::io_context& context, runtime::clock clock,
-               platform::store_calls calls, std::uint64_t random_seed,
-               hooks hooks);
+               platform::store_calls calls, policy::news_role::options limits,
+               std::uint64_t random_seed, hooks hooks);
 
     /// Starts the synchronisation. `peers` must outlive this object.
     void start(peer_group& peers);
@@ -78,6 +78,7 @@
     [[nodiscard]] runtime::duration confirmation_age() const;
 
     const runtime::clock clock_;
+    const policy::news_role::options limits_;
     const hooks hooks_;
     std::shared_ptr<platform::news_follower> follower_;
     policy::news_role role_;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -85,6 +85,8 @@
     store_sync_.emplace(
         io_context_, clock_,
         platform_adapter.make_store(io_context_, settings_.store),
+        policy::news_role::options::for_deadline(
+            std::min(settings_.max_configuration_age, settings_.drain_delay)),
         policy::hash_text(settings_.name), make_store_sync_hooks());
 }
 
--- a/packages/node/src/gateway_settings.cpp
+++ b/packages/node/src/gateway_settings.cpp
@@ -47,6 +47,8 @@
         "spare_nodes", 0, max_nodes, settings.spare_nodes));
     settings.caller_delay = reader.required_duration("caller_delay");
     settings.max_configuration_age = reader.required_duration("news_age");
+    settings.drain_delay =
+        reader.optional_duration("drain_delay", settings.drain_delay);
 }
 
 void read_extra_attempts(section_reader& reader, gateway_settings& settings)
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -20,9 +20,6 @@
 /// Time without a push after which the node that follows the service confirms
 /// to its peers that nothing has changed.
 constexpr duration push_interval = 300ms;
-/// Maximum age at which a confirmation by the service counts as recent. Covers
-/// the wait of one long-polling call and its answer.
-constexpr duration max_recent_age = 3200ms;
 /// Minimum time between pulls from peers.
 constexpr duration pull_interval = 100ms;
 /// Minimum time without a confirmation in which registrations may have lapsed
@@ -42,12 +39,14 @@
 } // namespace
 
 store_sync::store_sync(boost::asio::io_context& context, runtime::clock clock,
-                       platform::store_calls calls, std::uint64_t random_seed,
-                       hooks hooks)
-    : clock_(std::move(clock)), hooks_(std::move(hooks)),
-      role_({}, clock_.now()), timer_(context)
+                       platform::store_calls calls,
+                       policy::news_role::options limits,
+                       std::uint64_t random_seed, hooks hooks)
+    : clock_(std::move(clock)), limits_(limits), hooks_(std::move(hooks)),
+      role_(limits, clock_.now()), timer_(context)
 {
     platform::news_follower::options options;
+    options.watch_timeout = limits.watch_timeout;
     options.random_seed = random_seed;
     follower_ = std::make_shared<platform::news_follower>(
         context, clock_, options, std::move(calls), make_follower_observer());
@@ -66,9 +65,9 @@
                        std::uint64_t revision) {
                     const auto previous_revision = revision_;
                     merge_items(items, revision);
-                    if (!items.empty()) {
-                        push_to_peers(items, previous_revision);
-                    }
+                    // Also without changes: the peers learn at once that the
+                    // service has confirmed what they know.
+                    push_to_peers(items, previous_revision);
                 },
             .regained =
                 [this] {
@@ -140,7 +139,7 @@
     const auto now = clock_.now();
     const bool is_recent = is_complete_ && follower_->is_following() &&
                            !is_store_unreachable_ &&
-                           confirmation_age() <= max_recent_age;
+                           confirmation_age() <= limits_.max_age;
     if (is_recent && now - last_push_at_ >= push_interval) {
         push_to_peers({}, revision_);
     }
@@ -321,16 +320,17 @@
         merge_items(news.items, news.revision);
     }
     follower_->skip_to(revision_);
-    if (news.age > max_recent_age) {
+    if (news.age > limits_.max_age) {
         return;
     }
+    const auto confirmed_at = now - news.age;
     peer_confirmed_at_ =
-        std::max(peer_confirmed_at_.value_or(now - news.age), now - news.age);
+        std::max(peer_confirmed_at_.value_or(confirmed_at), confirmed_at);
     const bool is_domain_peer = std::any_of(
         domain_peers_.begin(), domain_peers_.end(),
         [&](const member& each) { return each.name == news.sender; });
     if (is_domain_peer) {
-        role_.record_peer_news(now);
+        role_.record_peer_news(confirmed_at, now);
     }
 }
 
--- a/packages/node/tests/gateway_settings_test.cpp
+++ b/packages/node/tests/gateway_settings_test.cpp
@@ -19,6 +19,7 @@
            "metrics = 10.0.0.1:4\nstore = 10.0.0.2:5\nseeds = " +
            seeds +
            "\n[fleet]\ncaller_delay = 3ms\nnews_age = 3000ms\n"
+           "drain_delay = 2500ms\n"
            "[extra attempts]\nratio = 0.2\nallowance = 52\nwindow = 10s\n";
 }
 
@@ -31,6 +32,8 @@
     cr_assert_eq(read.name, "n");
     cr_assert_eq(read.seeds.size(), 2U);
     cr_assert(read.shutdown_grace == 6s);
+    cr_assert(read.max_configuration_age == 3000ms);
+    cr_assert(read.drain_delay == 2500ms);
     cr_assert_float_eq(read.cores, 0.25, 1e-9);
     cr_assert_eq(read.extra_attempt_allowance, 52U);
     cr_assert_eq(read.memory, 160U * 1024 * 1024);
--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -134,7 +134,8 @@
     /// Starts following: watches from the last known revision, or lists all
     /// items if there is none. Has no effect while following.
     void resume();
-    /// Stops making calls and ignores the result of a pending call.
+    /// Stops making calls. The changes that a pending call brings are still
+    /// reported: the peer that has news from now on may know less.
     void pause();
 
     [[nodiscard]] bool is_following() const { return is_following_; }
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -53,7 +53,6 @@
 void news_follower::pause()
 {
     is_following_ = false;
-    ++call_generation_;
     timer_.cancel();
 }
 
@@ -121,13 +120,17 @@
     }
     record_response();
     if (batch.next_page) {
-        request_page(batch.next_page);
+        if (is_following_) {
+            request_page(batch.next_page);
+        }
         return;
     }
     revision_ = list_revision_;
     const auto items = std::exchange(listed_items_, {});
     observer_.listed(items, *revision_);
-    request_changes();
+    if (is_following_) {
+        request_changes();
+    }
 }
 
 void news_follower::request_changes()
@@ -146,6 +149,9 @@
     const auto& batch = result.value();
     revision_ = std::max(*revision_, batch.store_revision);
     observer_.changed(batch.items, *revision_);
+    if (!is_following_) {
+        return;
+    }
     if (batch.items.empty()) {
         request_changes();
         return;
@@ -168,7 +174,9 @@
         record_response();
         revision_.reset();
         observer_.lost(error);
-        request_page(std::nullopt);
+        if (is_following_) {
+            request_page(std::nullopt);
+        }
         return;
     }
     if (consecutive_failures_ == 0) {
@@ -177,6 +185,9 @@
     const auto doublings =
         std::min(consecutive_failures_, max_backoff_doublings);
     ++consecutive_failures_;
+    if (!is_following_) {
+        return;
+    }
     const auto delay =
         std::min(options_.max_retry_delay,
                  options_.initial_retry_delay * (1U << doublings));
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -69,6 +69,14 @@
         context.run_for(200ms);
     }
 
+    /// Ends the call that has got no response and processes events.
+    void answer_pending(news_result result)
+    {
+        pending_(std::move(result));
+        context.restart();
+        context.run_for(50ms);
+    }
+
     boost::asio::io_context context;
     std::vector<std::string> calls;
     std::vector<std::string> events;
@@ -78,6 +86,7 @@
     void respond(platform::store_calls::handler handle)
     {
         if (responses_.empty()) {
+            pending_ = std::move(handle);
             return;
         }
         boost::asio::post(context,
@@ -87,6 +96,8 @@
     }
 
     std::deque<news_result> responses_;
+    /// Handler of the last call that got no response.
+    platform::store_calls::handler pending_;
 };
 
 using strings = std::vector<std::string>;
@@ -196,6 +207,32 @@
     cr_assert(fixture.calls == (strings{"list -", "watch 7", "watch 40"}));
 }
 
+/// A node pauses because a peer has news. The answer to its own pending call
+/// may be more recent than what the peer knows.
+void the_result_of_a_call_pending_at_a_pause_is_used()
+{
+    follower_fixture fixture;
+    fixture.run({news_batch{{}, 7, {}}});
+    fixture.follower->pause();
+    fixture.answer_pending({news_batch{{registration("a")}, 9, {}}});
+    cr_assert(fixture.events == (strings{"listed 0", "changed 1"}));
+    cr_assert(fixture.calls == (strings{"list -", "watch 7"}),
+              "a paused follower makes no call");
+    fixture.follower->resume();
+    cr_assert_eq(fixture.calls.back(), "watch 9");
+}
+
+void a_failed_call_pending_at_a_pause_is_not_repeated()
+{
+    follower_fixture fixture;
+    fixture.run({news_batch{{}, 7, {}}});
+    fixture.follower->pause();
+    fixture.answer_pending(store_error::history_lost);
+    cr_assert(fixture.calls == (strings{"list -", "watch 7"}));
+    fixture.follower->resume();
+    cr_assert_eq(fixture.calls.back(), "list -");
+}
+
 } // namespace
 
 Test(news_follower, endless_pages)
@@ -206,6 +243,14 @@
 {
     a_listing_that_exceeds_the_memory_limit_is_given_up();
 }
+Test(news_follower, pending_at_pause)
+{
+    the_result_of_a_call_pending_at_a_pause_is_used();
+}
+Test(news_follower, failed_at_pause)
+{
+    a_failed_call_pending_at_a_pause_is_not_repeated();
+}
 Test(news_follower, paused)
 {
     a_resumed_follower_watches_from_the_skipped_to_revision();
--- a/packages/policy/src/news_role.cpp
+++ b/packages/policy/src/news_role.cpp
@@ -5,14 +5,41 @@
 namespace tamarackhoist::policy
 {
 
+namespace
+{
+
+/// Shares of the deadline, in percent. What the age and the delays of all ranks
+/// leave is for the first answer to the node that takes over, which brings the
+/// changes at once.
+constexpr int watch_percent = 40;
+constexpr int silence_percent = 30;
+constexpr int age_percent = 60;
+constexpr int rank_percent = 5;
+
+} // namespace
+
+news_role::options news_role::options::for_deadline(runtime::duration deadline)
+{
+    const auto percent = deadline / 100;
+    options result;
+    result.watch_timeout = percent * watch_percent;
+    result.news_timeout = percent * silence_percent;
+    result.max_age = percent * age_percent;
+    result.timeout_per_rank = percent * rank_percent;
+    return result;
+}
+
 news_role::news_role(options options, runtime::time_point started_at)
-    : options_(options), started_at_(started_at), last_peer_news_at_(started_at)
+    : options_(options), started_at_(started_at),
+      last_peer_news_at_(started_at), peer_confirmed_at_(started_at)
 {
 }
 
-void news_role::record_peer_news(runtime::time_point now)
+void news_role::record_peer_news(runtime::time_point confirmed_at,
+                                 runtime::time_point now)
 {
     last_peer_news_at_ = now;
+    peer_confirmed_at_ = std::max(peer_confirmed_at_, confirmed_at);
 }
 
 bool news_role::should_follow_service(std::size_t rank, bool is_complete,
@@ -25,8 +52,9 @@
                options_.startup_delay +
                    options_.startup_delay_per_rank * capped_rank;
     }
-    return now - last_peer_news_at_ >
-           options_.news_timeout + options_.timeout_per_rank * capped_rank;
+    const auto rank_delay = options_.timeout_per_rank * capped_rank;
+    return now - last_peer_news_at_ > options_.news_timeout + rank_delay ||
+           now - peer_confirmed_at_ > options_.max_age + rank_delay;
 }
 
 } // namespace tamarackhoist::policy
