upstreams: Withhold queued requests from an upstream that drains

Cause: the pool of an upstream never learned that the upstream drains; only the directory stopped offering it to new requests. Ruled out: late news (the drain was known within 10 ms) and the drain of connections (those under way may end).

Change: tracked_upstream::permission says whether an upstream may get requests. The pool asks it before each send; when it changes, queued requests end as withheld and go elsewhere, idle connections close, and opening ones close when they open.

--- a/packages/node/include/tamarackhoist/node/upstream_pools.hpp
+++ b/packages/node/include/tamarackhoist/node/upstream_pools.hpp
@@ -9,6 +9,7 @@
 #include <tamarackhoist/operators/metrics.hpp>
 #include <tamarackhoist/policy/registered_upstream.hpp>
 #include <tamarackhoist/policy/routing_table.hpp>
+#include <tamarackhoist/policy/upstream_directory.hpp>
 #include <tamarackhoist/runtime/clock.hpp>
 #include <tamarackhoist/upstreams/forward_pool.hpp>
 #include <tamarackhoist/upstreams/response_budget.hpp>
@@ -39,8 +40,11 @@
     upstream_pools(boost::asio::io_context& context, runtime::clock clock,
                    options options, operators::metrics& metrics);
 
-    /// Creates the pool of an upstream and warms it unless it is draining.
-    void open(const policy::registered_upstream& upstream);
+    /// Creates the pool of an upstream and warms it if the upstream takes
+    /// requests.
+    void open(const policy::upstream_handle& handle);
+    /// Moves queued requests away from an upstream that takes none any more.
+    void apply_permission(const policy::registered_upstream& upstream);
     /// Retires the pool of an upstream.
     void close(const policy::registered_upstream& upstream);
 
--- a/packages/node/src/forward_message.cpp
+++ b/packages/node/src/forward_message.cpp
@@ -186,6 +186,7 @@
     case upstreams::forward_status::answered:
         return classify_response(result.response, fields, is_fan_out);
     case upstreams::forward_status::not_sent:
+    case upstreams::forward_status::withheld:
         return attempt_result::not_sent;
     case upstreams::forward_status::broken:
         return attempt_result::broken;
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -255,11 +255,17 @@
 void forwarded_request::record_reachability(const std::string& failure_domain,
                                             upstreams::forward_status status)
 {
-    if (status == upstreams::forward_status::answered) {
+    switch (status) {
+    case upstreams::forward_status::answered:
         shared_->reach.record_contact(failure_domain);
-    } else {
+        return;
+    case upstreams::forward_status::not_sent:
+    case upstreams::forward_status::broken:
         shared_->reach.record_missed_contact(failure_domain,
                                              shared_->clock.now());
+        return;
+    case upstreams::forward_status::withheld:
+        return;
     }
 }
 
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -527,12 +527,13 @@
 {
     return {.added =
                 [this](const policy::upstream_handle& upstream) {
-                    pools_.open(upstream->registration);
+                    pools_.open(upstream);
                 },
             .draining =
-                [](const policy::tracked_upstream& upstream) {
+                [this](const policy::tracked_upstream& upstream) {
                     log_event(event_number::upstream_draining,
                               upstream.registration.id);
+                    pools_.apply_permission(upstream.registration);
                 },
             .gone =
                 [this](const policy::tracked_upstream& upstream) {
--- a/packages/node/src/upstream_pools.cpp
+++ b/packages/node/src/upstream_pools.cpp
@@ -60,8 +60,9 @@
                : 0;
 }
 
-void upstream_pools::open(const registered_upstream& upstream)
+void upstream_pools::open(const policy::upstream_handle& handle)
 {
+    const auto& upstream = handle->registration;
     runtime::log_line(event_number::upstream_added)
         .add("upstream", upstream.id)
         .add("service", upstream.service)
@@ -76,14 +77,21 @@
         .max_connections = [this,
                             upstream] { return connection_share(upstream); },
         .warm_connections =
-            [this, upstream] {
-                return warm_connection_count(upstream);
+            [this, upstream] { return warm_connection_count(upstream); },
+        .may_send =
+            [handle] {
+                return handle->permission().is_granted();
             }};
     const auto pool =
         std::make_shared<upstreams::forward_pool>(context_, clock_, options);
     pools_[upstream.id] = pool;
-    if (!upstream.is_draining) {
-        pool->warm();
+    pool->warm();
+}
+
+void upstream_pools::apply_permission(const registered_upstream& upstream)
+{
+    if (const auto pool = find(upstream.id)) {
+        pool->apply_permission();
     }
 }
 
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -200,6 +200,16 @@
         store.put({"servers/" + id, "x", 0, false});
     }
 
+    /// Updates the registration of an upstream to draining.
+    void set_draining(const std::string& id)
+    {
+        {
+            const std::lock_guard guard(mutex_);
+            registrations_["servers/" + id].is_draining = true;
+        }
+        store.put({"servers/" + id, "x", 0, false});
+    }
+
     void set_routes(std::uint64_t version, std::vector<policy::route> routes)
     {
         std::map<std::string, policy::service_settings, std::less<>> services;
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -407,6 +407,43 @@
     cr_assert(not_executed > 0);
 }
 
+/// Guards against requests that were queued for an upstream before it drained
+/// and are sent to it seconds later, when it may be about to leave.
+void requests_queued_for_a_draining_upstream_are_not_sent_to_it()
+{
+    gateway_fixture fixture;
+    fixture.add_upstream(
+        "o1", "orders", "a", [](const received_request& received) {
+            std::this_thread::sleep_for(300ms);
+            return make_answer("d", "ordered " + received.body);
+        });
+    auto route = make_order_route();
+    route.timeout = 8000ms;
+    fixture.set_routes(1, {route});
+    const auto gateway = fixture.start_gateway("n", "a");
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    constexpr std::size_t requests = 12;
+    constexpr std::size_t connections = 5;
+    std::vector<std::optional<transport::http_response>> responses(requests);
+    {
+        std::vector<std::jthread> callers;
+        for (std::size_t index = 0; index < requests; ++index) {
+            callers.emplace_back([&, index] {
+                responses[index] = fixture.send_request(
+                    gateway, "/o/1", "r" + std::to_string(index), "cake");
+            });
+        }
+        std::this_thread::sleep_for(100ms);
+        fixture.set_draining("o1");
+    }
+    cr_assert_eq(fixture.received_requests().size(), connections);
+    const auto rejected = std::count_if(
+        responses.begin(), responses.end(), [](const auto& response) {
+            return response && response->result_int() == 503U;
+        });
+    cr_assert_eq(static_cast<std::size_t>(rejected), requests - connections);
+}
+
 /// The error of a gateway that cannot listen names the address.
 void an_error_names_the_address_in_use()
 {
@@ -508,6 +545,10 @@
 {
     one_node_of_a_domain_calls_the_store();
 }
+Test(gateway, queued_at_drain)
+{
+    requests_queued_for_a_draining_upstream_are_not_sent_to_it();
+}
 Test(gateway, queued_at_shutdown)
 {
     requests_that_wait_for_an_upstream_are_answered_at_a_stop();
--- /dev/null
+++ b/packages/policy/include/tamarackhoist/policy/send_permission.hpp
@@ -0,0 +1,29 @@
+#ifndef TAMARACKHOIST_POLICY_SEND_PERMISSION_HPP
+#define TAMARACKHOIST_POLICY_SEND_PERMISSION_HPP
+
+namespace tamarackhoist::policy
+{
+
+/// Why an upstream must get no request of this node.
+enum class hold_reason {
+    /// The upstream takes requests.
+    none,
+    /// Its registration says that it drains.
+    draining,
+    /// Its registration was removed, or another incarnation has replaced it.
+    gone
+};
+
+/// Whether this node may send requests to an upstream.
+struct send_permission {
+    hold_reason reason = hold_reason::none;
+
+    [[nodiscard]] bool is_granted() const
+    {
+        return reason == hold_reason::none;
+    }
+};
+
+} // namespace tamarackhoist::policy
+
+#endif
--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <tamarackhoist/policy/registered_upstream.hpp>
+#include <tamarackhoist/policy/send_permission.hpp>
 #include <tamarackhoist/policy/upstream_health.hpp>
 #include <tamarackhoist/runtime/time.hpp>
 #include <vector>
@@ -30,6 +31,9 @@
     /// Time at which the removal of the registration takes effect, if it is
     /// pending.
     std::optional<runtime::time_point> removal_due_at;
+
+    /// Returns whether this node may send requests to the upstream.
+    [[nodiscard]] send_permission permission() const;
 };
 
 using upstream_handle = std::shared_ptr<tracked_upstream>;
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -8,6 +8,17 @@
 
 using runtime::time_point;
 
+send_permission tracked_upstream::permission() const
+{
+    if (is_gone) {
+        return {hold_reason::gone};
+    }
+    if (registration.is_draining) {
+        return {hold_reason::draining};
+    }
+    return {};
+}
+
 upstream_directory::upstream_directory(observer callbacks)
     : observer_(std::move(callbacks))
 {
@@ -155,7 +166,7 @@
     ready.clear();
     for (const auto& [id, upstream] : by_id_) {
         if (upstream->registration.service != service ||
-            upstream->registration.is_draining || upstream->is_gone) {
+            !upstream->permission().is_granted()) {
             continue;
         }
         ready.push_back(upstream);
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
@@ -36,6 +36,8 @@
     answered,
     /// Nothing was written, so the request was not executed.
     not_sent,
+    /// Nothing was written, because the upstream must get no request now.
+    withheld,
     /// After writing had begun, the connection was lost or the upstream
     /// violated the protocol. The request may have been executed.
     broken
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
@@ -33,6 +33,9 @@
         /// Returns the number of connections to keep open even when no request
         /// needs them.
         std::function<std::size_t()> warm_connections;
+        /// Returns whether the upstream may get requests now. Empty if it
+        /// always may.
+        std::function<bool()> may_send = nullptr;
     };
 
     forward_pool(boost::asio::io_context& context, runtime::clock clock,
@@ -57,6 +60,10 @@
     /// executed.
     bool cancel(exchange_id exchange);
 
+    /// Ends queued requests as withheld and closes idle connections if the
+    /// upstream must get no request. To be called when that has changed.
+    void apply_permission();
+
     /// Opens connections until there are `options::warm_connections`.
     void warm();
 
@@ -83,7 +90,13 @@
         exchange_id exchange = 0;
     };
 
+    [[nodiscard]] bool may_send() const
+    {
+        return !options_.may_send || options_.may_send();
+    }
     void dispatch();
+    void end_waiting_requests(forward_status status);
+    void close_idle_connections();
     [[nodiscard]] pooled_connection* find_idle(connection_use use);
     void start_exchange(pooled_connection& slot, waiting_request request);
     void open_connection();
--- a/packages/upstreams/src/forward_pool.cpp
+++ b/packages/upstreams/src/forward_pool.cpp
@@ -28,9 +28,11 @@
                    forward_connection::result_handler handle)
 {
     const auto id = next_exchange_id_++;
-    if (is_retired_) {
-        boost::asio::post(context_, [handle = std::move(handle)] {
-            handle({forward_status::not_sent, {}});
+    if (is_retired_ || !may_send()) {
+        const auto status =
+            is_retired_ ? forward_status::not_sent : forward_status::withheld;
+        boost::asio::post(context_, [status, handle = std::move(handle)] {
+            handle({status, {}});
         });
         return id;
     }
@@ -103,6 +105,7 @@
 
 void forward_pool::dispatch()
 {
+    apply_permission();
     while (!waiting_.empty()) {
         const auto use = waiting_.front().use;
         auto* idle = find_idle(use);
@@ -158,6 +161,7 @@
         retire();
         return;
     }
+    apply_permission();
     if (waiting_.empty()) {
         warm();
         return;
@@ -195,8 +199,9 @@
         fail_waiting_requests();
         return;
     }
-    if (is_retired_) {
+    if (is_retired_ || !may_send()) {
         connection->close();
+        apply_permission();
         return;
     }
     connections_.push_back({connection, 0});
@@ -209,9 +214,14 @@
     if (!connections_.empty()) {
         return;
     }
-    auto failed = std::exchange(waiting_, {});
-    for (auto& request : failed) {
-        request.handle({forward_status::not_sent, {}});
+    end_waiting_requests(forward_status::not_sent);
+}
+
+void forward_pool::end_waiting_requests(forward_status status)
+{
+    auto ended = std::exchange(waiting_, {});
+    for (auto& request : ended) {
+        request.handle({status, {}});
     }
 }
 
@@ -235,15 +245,31 @@
 
 void forward_pool::warm()
 {
-    while (!is_retired_ && connection_count() < options_.warm_connections() &&
+    while (!is_retired_ && may_send() &&
+           connection_count() < options_.warm_connections() &&
            connection_count() < options_.max_connections()) {
         open_connection();
     }
 }
 
+void forward_pool::apply_permission()
+{
+    if (may_send()) {
+        return;
+    }
+    close_idle_connections();
+    end_waiting_requests(forward_status::withheld);
+}
+
 void forward_pool::retire()
 {
     is_retired_ = true;
+    close_idle_connections();
+    end_waiting_requests(forward_status::not_sent);
+}
+
+void forward_pool::close_idle_connections()
+{
     std::vector<std::shared_ptr<forward_connection>> idle;
     for (const auto& slot : connections_) {
         if (slot.connection->is_idle()) {
@@ -253,10 +279,6 @@
     for (const auto& connection : idle) {
         connection->close();
     }
-    auto waiting = std::exchange(waiting_, {});
-    for (auto& request : waiting) {
-        request.handle({forward_status::not_sent, {}});
-    }
 }
 
 } // namespace tamarackhoist::upstreams
--- a/packages/upstreams/tests/forward_pool_test.cpp
+++ b/packages/upstreams/tests/forward_pool_test.cpp
@@ -207,6 +207,51 @@
     cr_assert_eq(fixture.pool->connection_count(), 0U);
 }
 
+/// An upstream drains while requests wait for a connection to it. They must not
+/// be sent to it later, nor may new ones; the running exchange goes on.
+void requests_are_withheld_from_a_draining_upstream()
+{
+    pool_fixture fixture([](const std::string& header, int) {
+        return scripted_upstream::reply{
+            make_reply(parse_request_id(header), "b")};
+    });
+    fixture.send("running");
+    while (fixture.upstream.requests() == 0) {
+        fixture.context.run_one();
+    }
+    fixture.send("queued");
+    fixture.takes_requests = false;
+    fixture.pool->apply_permission();
+    cr_assert(fixture.ended_ids == std::vector<std::string>{"queued"});
+    cr_assert(fixture.results[0].status == forward_status::withheld);
+    fixture.send("late");
+    fixture.run_until(3);
+    fixture.process_events();
+    cr_assert_eq(fixture.upstream.requests(), 1);
+    cr_assert_eq(fixture.pool->connection_count(), 0U,
+                 "the connection of the exchange closes after it");
+    fixture.takes_requests = true;
+    fixture.send("again");
+    fixture.run_until(4);
+    cr_assert(fixture.results[3].status == forward_status::answered);
+}
+
+/// The upstream drains while the connection for a queued request opens.
+void an_opening_connection_sends_nothing_to_a_draining_upstream()
+{
+    pool_fixture fixture([](const std::string& header, int) {
+        return scripted_upstream::reply{
+            make_reply(parse_request_id(header), "b")};
+    });
+    fixture.send("queued");
+    fixture.takes_requests = false;
+    fixture.run_until(1);
+    fixture.process_events();
+    cr_assert(fixture.results[0].status == forward_status::withheld);
+    cr_assert_eq(fixture.upstream.requests(), 0);
+    cr_assert_eq(fixture.pool->connection_count(), 0U);
+}
+
 void a_refused_connection_is_reported_as_not_sent()
 {
     boost::asio::io_context context;
@@ -298,6 +343,14 @@
 {
     a_retired_pool_sends_nothing_more();
 }
+Test(forward_pool, withheld)
+{
+    requests_are_withheld_from_a_draining_upstream();
+}
+Test(forward_pool, withheld_opening)
+{
+    an_opening_connection_sends_nothing_to_a_draining_upstream();
+}
 Test(forward_pool, refused)
 {
     a_refused_connection_is_reported_as_not_sent();
--- a/packages/upstreams/tests/pool_fixture.hpp
+++ b/packages/upstreams/tests/pool_fixture.hpp
@@ -26,9 +26,10 @@
                   .connection = {.target = upstream.listen_endpoint(),
                                  .responses = {.request_id_field = "X-Id"}},
                   .max_connections = [connections] { return connections; },
-                  .warm_connections =
-                      [] {
-                          return std::size_t(0);
+                  .warm_connections = [] { return std::size_t(0); },
+                  .may_send =
+                      [this] {
+                          return takes_requests;
                       }}))
     {
     }
@@ -75,6 +76,7 @@
         }
     }
 
+    bool takes_requests = true;
     boost::asio::io_context context;
     scripted_upstream upstream;
     std::shared_ptr<forward_pool> pool;
