policy: Send nothing more to an upstream that says it leaves

Change: response_reader reports each head as soon as it is complete, so that interim answers, late duplicates and answers that are cut off later count too. upstream_notice reads the field, whose name platform/ gives. The directory marks the incarnation as leaving; from then on it is treated like one that drains: not offered, queued requests withheld, idle connections closed, at a relay as well. A registration that still says ready does not take it back; a new incarnation starts clean. E301 and tamarackhoist_upstreams_leaving_total give the reason.

Before: gateway_test leaving, only_upstream_leaving and leaving_behind_relay did not exist and the code had no notion of the field. After: they pass, with response_reader_test heads and two tests of the directory. Not done: other nodes of the failure domain are not told, and an upstream that leaves is not used even where nothing else is left.

--- a/packages/node/include/tamarackhoist/node/forward_fields.hpp
+++ b/packages/node/include/tamarackhoist/node/forward_fields.hpp
@@ -19,6 +19,8 @@
     std::string digest;
     /// Present if the upstream did not execute the request.
     std::string not_executed;
+    /// Present in the answers of an upstream that leaves.
+    std::string leaving;
     /// Digests of the shards that a fan-out's answer covers.
     std::string shard_digests;
     /// Number of shards that a fan-out's answer lacks.
--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -79,6 +79,9 @@
     make_directory_observer();
     [[nodiscard]] store_sync::hooks make_store_sync_hooks();
     [[nodiscard]] peer_group::hooks make_peer_group_hooks();
+    /// Reads what an upstream says of itself in the head of a response.
+    void handle_head(policy::tracked_upstream& upstream,
+                     const transport::http_response& head);
     void apply_item(const platform::news_item& item);
     void apply_changes(const std::vector<policy::store_item>& items);
     void apply_snapshot(const std::vector<policy::store_item>& items,
--- a/packages/node/include/tamarackhoist/node/upstream_pools.hpp
+++ b/packages/node/include/tamarackhoist/node/upstream_pools.hpp
@@ -2,6 +2,7 @@
 #define TAMARACKHOIST_NODE_UPSTREAM_POOLS_HPP
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,6 +35,10 @@
         std::string request_id_field;
         /// Limit of the memory for unfinished responses, in bytes.
         std::size_t max_response_memory = 0;
+        /// Called with the head of each response of an upstream.
+        std::function<void(policy::tracked_upstream&,
+                           const transport::http_response&)>
+            on_head;
     };
 
     /// `metrics` must outlive this object.
@@ -75,7 +80,7 @@
 
 private:
     [[nodiscard]] upstreams::forward_connection::options
-    make_connection_options(const policy::registered_upstream& upstream) const;
+    make_connection_options(const policy::upstream_handle& handle) const;
     void record_rejection(const policy::registered_upstream& upstream,
                           upstreams::response_fault fault) const;
     [[nodiscard]] bool
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include <tamarackhoist/node/gateway.hpp>
 
+#include "upstream_notice.hpp"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <random>
@@ -63,13 +64,17 @@
                 .window = settings_.extra_attempt_window},
                policy::hash_text(settings_.name), clock_.now()),
       health_(io_context_, clock_, settings_.failure_domain),
-      pools_(
-          io_context_, clock_,
-          {.failure_domain = settings_.failure_domain,
-           .spare_nodes = settings_.spare_nodes,
-           .request_id_field = platform_adapter.fields.request_id,
-           .max_response_memory = settings_.memory / response_memory_divisor},
-          metrics_),
+      pools_(io_context_, clock_,
+             {.failure_domain = settings_.failure_domain,
+              .spare_nodes = settings_.spare_nodes,
+              .request_id_field = platform_adapter.fields.request_id,
+              .max_response_memory = settings_.memory / response_memory_divisor,
+              .on_head =
+                  [this](policy::tracked_upstream& upstream,
+                         const transport::http_response& head) {
+                      handle_head(upstream, head);
+                  }},
+             metrics_),
       decode_(std::move(platform_adapter.decode)),
       relay_client_(settings_.failure_domain, to_millicores(settings_.cores),
                     incarnation, clock_, health_.reach()),
@@ -523,6 +528,15 @@
     });
 }
 
+void gateway::handle_head(policy::tracked_upstream& upstream,
+                          const transport::http_response& head)
+{
+    const auto notice = read_upstream_notice(head, forwarding_->fields);
+    if (notice.is_leaving) {
+        directory_.record_leaving(upstream);
+    }
+}
+
 policy::upstream_directory::observer gateway::make_directory_observer()
 {
     return {.added =
@@ -531,8 +545,14 @@
                 },
             .draining =
                 [this](const policy::tracked_upstream& upstream) {
-                    log_event(event_number::upstream_draining,
-                              upstream.registration.id);
+                    const std::string reason =
+                        to_string(upstream.permission().reason);
+                    metrics_.count({"tamarackhoist_upstreams_leaving_total",
+                                    "reason=\"" + reason + "\""});
+                    runtime::log_line(event_number::upstream_draining)
+                        .add("upstream", upstream.registration.id)
+                        .add("service", upstream.registration.service)
+                        .add("reason", reason);
                     pools_.apply_permission(upstream.registration);
                 },
             .gone =
--- a/packages/node/src/upstream_pools.cpp
+++ b/packages/node/src/upstream_pools.cpp
@@ -1,6 +1,7 @@
 #include <tamarackhoist/node/upstream_pools.hpp>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <tamarackhoist/runtime/log_line.hpp>
 
 namespace tamarackhoist::node
@@ -73,7 +74,7 @@
         return;
     }
     const upstreams::forward_pool::options options{
-        .connection = make_connection_options(upstream),
+        .connection = make_connection_options(handle),
         .max_connections = [this,
                             upstream] { return connection_share(upstream); },
         .warm_connections =
@@ -91,20 +92,27 @@
 void upstream_pools::apply_permission(const registered_upstream& upstream)
 {
     if (const auto pool = find(upstream.id)) {
-        pool->apply_permission();
+        // The caller may be handling a response of this pool.
+        boost::asio::post(context_, [pool] { pool->apply_permission(); });
     }
 }
 
 upstreams::forward_connection::options upstream_pools::make_connection_options(
-    const registered_upstream& upstream) const
-{
-    return {.target = {upstream.address, upstream.port},
-            .responses = {.request_id_field = options_.request_id_field,
-                          .service = upstream.service,
-                          .budget = response_budget_},
-            .on_rejected = [this, upstream](upstreams::response_fault fault) {
-                record_rejection(upstream, fault);
-            }};
+    const policy::upstream_handle& handle) const
+{
+    const auto& upstream = handle->registration;
+    return {
+        .target = {upstream.address, upstream.port},
+        .responses = {.request_id_field = options_.request_id_field,
+                      .service = upstream.service,
+                      .budget = response_budget_,
+                      .on_head =
+                          [this, handle](const transport::http_response& head) {
+                              options_.on_head(*handle, head);
+                          }},
+        .on_rejected = [this, upstream](upstreams::response_fault fault) {
+            record_rejection(upstream, fault);
+        }};
 }
 
 void upstream_pools::record_rejection(const registered_upstream& upstream,
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -210,6 +210,16 @@
         store.put({"servers/" + id, "x", 0, false});
     }
 
+    /// Updates the registration of an upstream to a new incarnation.
+    void restart_upstream(const std::string& id)
+    {
+        {
+            const std::lock_guard guard(mutex_);
+            ++registrations_["servers/" + id].started_at;
+        }
+        store.put({"servers/" + id, "x", 0, false});
+    }
+
     void set_routes(std::uint64_t version, std::vector<policy::route> routes)
     {
         std::map<std::string, policy::service_settings, std::less<>> services;
@@ -256,6 +266,7 @@
                                         .expected_upstream = "X-Expected",
                                         .digest = "X-Digest",
                                         .not_executed = "X-Not-Run",
+                                        .leaving = "X-Leaving",
                                         .shard_digests = "X-Digests",
                                         .missing_shards = "X-Missing"},
                              .make_store =
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -444,6 +444,106 @@
     cr_assert_eq(static_cast<std::size_t>(rejected), requests - connections);
 }
 
+transport::http_response make_leaving_answer(const received_request& received)
+{
+    auto response = make_answer("d", "ordered " + received.body);
+    response.set("X-Leaving", "1");
+    return response;
+}
+
+/// An upstream that leaves says so in its answers. Its registration still says
+/// that it is ready, and the store does not answer any more.
+void an_upstream_that_says_it_leaves_gets_no_more_requests()
+{
+    gateway_fixture fixture;
+    fixture.add_upstream("o1", "orders", "a", make_leaving_answer);
+    fixture.add_upstream(
+        "o2", "orders", "b", [](const received_request& received) {
+            return make_answer("d", "ordered " + received.body);
+        });
+    fixture.set_routes(1, {make_order_route()});
+    const auto gateway = fixture.start_gateway("n", "a");
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    fixture.store.set_available(false);
+    for (int number = 0; number < 20; ++number) {
+        const auto response = fixture.send_request(
+            gateway, "/o/1", "r" + std::to_string(number), "cake");
+        cr_assert(response.has_value());
+        cr_assert_eq(response->result_int(), 200U);
+    }
+    const auto received = fixture.received_requests();
+    const auto at_leaving = std::count_if(
+        received.begin(), received.end(),
+        [](const received_request& each) { return each.upstream == "o1"; });
+    cr_assert_eq(at_leaving, 1);
+}
+
+/// Without another upstream, requests are rejected at once and truthfully. A
+/// new incarnation takes requests again.
+void requests_are_rejected_while_the_only_upstream_leaves()
+{
+    gateway_fixture fixture;
+    fixture.add_upstream("o1", "orders", "a", make_leaving_answer);
+    fixture.set_routes(1, {make_order_route()});
+    const auto gateway = fixture.start_gateway("n", "a");
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    cr_assert_eq(
+        fixture.send_request(gateway, "/o/1", "r1", "cake")->result_int(),
+        200U);
+    const auto rejection = fixture.send_request(gateway, "/o/1", "r2", "cake");
+    cr_assert(rejection.has_value());
+    cr_assert_eq(rejection->result_int(), 503U);
+    cr_assert(rejection->find(http::field::retry_after) != rejection->end());
+    cr_assert_eq(fixture.received_requests().size(), 1U);
+    fixture.restart_upstream("o1");
+    cr_assert(fixture.wait_until([&] {
+        const auto response =
+            fixture.send_request(gateway, "/o/1", "r3", "cake");
+        return response && response->result_int() == 200U;
+    }));
+}
+
+/// A fan-out reaches the upstreams of another domain through a relay. The relay
+/// sends nothing more to an upstream that leaves.
+void a_relay_sends_nothing_to_an_upstream_that_says_it_leaves()
+{
+    gateway_fixture fixture;
+    for (const auto* service : {"s0", "s1", "s2", "s3"}) {
+        fixture.add_upstream(std::string(service) + "a", service, "a",
+                             [](const received_request& received) {
+                                 auto response = make_shard_answer(received);
+                                 if (received.upstream == "s0a") {
+                                     response.set("X-Leaving", "1");
+                                 }
+                                 return response;
+                             });
+    }
+    fixture.set_routes(1, {make_fan_out_route()});
+    const auto near = fixture.start_gateway("near", "a");
+    const auto far = fixture.start_gateway("far", "c");
+    cr_assert(fixture.wait_until(
+        [&] { return fixture.is_ready(near) && fixture.is_ready(far); }));
+    const auto send_through_relay = [&](int number) {
+        const auto response =
+            fixture.send_request(far, "/q/x", "r" + std::to_string(number));
+        cr_assert(response.has_value());
+        return response;
+    };
+    // At first the far node may send directly, before it knows the near one.
+    std::this_thread::sleep_for(1s);
+    for (int number = 0; number < 10; ++number) {
+        const auto response = send_through_relay(number);
+        cr_assert_eq(response->result_int(), 200U);
+        cr_assert_eq(std::string((*response)["X-Missing"]),
+                     number == 0 ? "0" : "1", "request %d", number);
+    }
+    const auto received = fixture.received_requests();
+    const auto at_leaving = std::count_if(
+        received.begin(), received.end(),
+        [](const received_request& each) { return each.upstream == "s0a"; });
+    cr_assert_eq(at_leaving, 1);
+}
+
 /// The error of a gateway that cannot listen names the address.
 void an_error_names_the_address_in_use()
 {
@@ -549,6 +649,18 @@
 {
     requests_queued_for_a_draining_upstream_are_not_sent_to_it();
 }
+Test(gateway, leaving)
+{
+    an_upstream_that_says_it_leaves_gets_no_more_requests();
+}
+Test(gateway, only_upstream_leaving)
+{
+    requests_are_rejected_while_the_only_upstream_leaves();
+}
+Test(gateway, leaving_behind_relay)
+{
+    a_relay_sends_nothing_to_an_upstream_that_says_it_leaves();
+}
 Test(gateway, queued_at_shutdown)
 {
     requests_that_wait_for_an_upstream_are_answered_at_a_stop();
--- a/packages/policy/include/tamarackhoist/policy/send_permission.hpp
+++ b/packages/policy/include/tamarackhoist/policy/send_permission.hpp
@@ -10,10 +10,15 @@
     none,
     /// Its registration says that it drains.
     draining,
+    /// It has said in an answer that it leaves.
+    leaving,
     /// Its registration was removed, or another incarnation has replaced it.
     gone
 };
 
+/// Returns the name of `reason` for logs and metrics.
+[[nodiscard]] const char* to_string(hold_reason reason);
+
 /// Whether this node may send requests to an upstream.
 struct send_permission {
     hold_reason reason = hold_reason::none;
--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -28,6 +28,9 @@
     /// Set when the registration was removed or replaced; no new attempts are
     /// made.
     bool is_gone = false;
+    /// Set when this incarnation has said in an answer that it leaves. Its
+    /// registration may not say so yet, or never.
+    bool is_leaving = false;
     /// Time at which the removal of the registration takes effect, if it is
     /// pending.
     std::optional<runtime::time_point> removal_due_at;
@@ -53,7 +56,7 @@
     struct observer {
         /// An upstream or a new incarnation of it was added.
         std::function<void(const upstream_handle&)> added;
-        /// An upstream has started to drain.
+        /// An upstream takes no more requests, because it drains or leaves.
         std::function<void(const tracked_upstream&)> draining;
         /// An upstream or an old incarnation of it was removed.
         std::function<void(const tracked_upstream&)> gone;
@@ -75,6 +78,9 @@
     void replace_all(std::span<const registered_upstream> entries,
                      std::uint64_t revision, runtime::time_point now);
 
+    /// Records that `upstream` has said in an answer that it leaves.
+    void record_leaving(tracked_upstream& upstream);
+
     /// Extends the grace period to `until`, unless it already ends later.
     void extend_grace(runtime::time_point until);
 
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -16,6 +16,9 @@
     if (registration.is_draining) {
         return {hold_reason::draining};
     }
+    if (is_leaving) {
+        return {hold_reason::leaving};
+    }
     return {};
 }
 
@@ -50,13 +53,12 @@
         observer_.added(current);
         return;
     }
-    const bool starts_draining =
-        entry.is_draining && !current->registration.is_draining;
+    const bool took_requests = current->permission().is_granted();
     current->registration = entry;
     current->warm_at = now + entry.warm_up_left;
     current->removal_due_at.reset();
     rebuild_ready_list(entry.service);
-    if (starts_draining) {
+    if (took_requests && !current->permission().is_granted()) {
         observer_.draining(*current);
     }
 }
@@ -92,6 +94,16 @@
     }
 }
 
+void upstream_directory::record_leaving(tracked_upstream& upstream)
+{
+    const bool took_requests = upstream.permission().is_granted();
+    upstream.is_leaving = true;
+    if (took_requests) {
+        rebuild_ready_list(upstream.registration.service);
+        observer_.draining(upstream);
+    }
+}
+
 void upstream_directory::extend_grace(time_point until)
 {
     grace_until_ = std::max(grace_until_, until);
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -216,6 +216,38 @@
     cr_assert_eq(fixture.events.back(), "draining u");
 }
 
+/// The store may learn late, or never, that an upstream leaves. What the
+/// upstream has said in an answer holds for its incarnation.
+void an_upstream_that_says_it_leaves_gets_no_new_requests()
+{
+    using policy::hold_reason;
+    directory_fixture fixture;
+    auto entry = fixture.make_entry("u", 1);
+    fixture.directory.put(entry, start_of_test);
+    const auto leaving = fixture.directory.find_ready("s").front();
+    fixture.directory.record_leaving(*leaving);
+    fixture.directory.record_leaving(*leaving);
+    cr_assert(fixture.directory.find_ready("s").empty());
+    cr_assert(leaving->permission().reason == hold_reason::leaving);
+    entry.revision = 2;
+    fixture.directory.put(entry, start_of_test);
+    cr_assert(fixture.directory.find_ready("s").empty(),
+              "a later registration does not take it back");
+    entry.revision = 3;
+    entry.is_draining = true;
+    fixture.directory.put(entry, start_of_test);
+    cr_assert(fixture.events ==
+              (std::vector<std::string>{"added u", "draining u"}));
+    entry.revision = 4;
+    entry.is_draining = false;
+    entry.started_at = 2;
+    fixture.directory.put(entry, start_of_test);
+    cr_assert_eq(fixture.directory.find_ready("s").size(), 1U);
+    fixture.directory.record_leaving(*leaving);
+    cr_assert_eq(fixture.directory.find_ready("s").size(), 1U,
+                 "a late answer of the old incarnation");
+}
+
 void older_revisions_are_ignored()
 {
     directory_fixture fixture;
@@ -228,6 +260,25 @@
     cr_assert_eq(fixture.directory.size(), 1U);
 }
 
+/// An upstream that reports that it is ready again, without a restart, takes
+/// requests again.
+void a_drain_can_be_taken_back()
+{
+    directory_fixture fixture;
+    auto entry = fixture.make_entry("u", 1);
+    fixture.directory.put(entry, start_of_test);
+    const auto upstream = fixture.directory.find_ready("s").front();
+    entry.revision = 2;
+    entry.is_draining = true;
+    fixture.directory.put(entry, start_of_test);
+    cr_assert(!upstream->permission().is_granted());
+    entry.revision = 3;
+    entry.is_draining = false;
+    fixture.directory.put(entry, start_of_test);
+    cr_assert(upstream->permission().is_granted());
+    cr_assert_eq(fixture.directory.find_ready("s").size(), 1U);
+}
+
 void a_removal_applies_immediately_outside_the_grace_period()
 {
     directory_fixture fixture;
@@ -315,6 +366,14 @@
 {
     a_draining_upstream_gets_no_new_requests();
 }
+Test(upstream_directory, leaving)
+{
+    an_upstream_that_says_it_leaves_gets_no_new_requests();
+}
+Test(upstream_directory, drain_taken_back)
+{
+    a_drain_can_be_taken_back();
+}
 Test(upstream_directory, older_revision)
 {
     older_revisions_are_ignored();
--- a/packages/upstreams/include/tamarackhoist/upstreams/response_reader.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/response_reader.hpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,10 @@
         std::string service = {};
         /// Memory for unfinished responses of the node; null for no limit.
         std::shared_ptr<response_budget> budget = nullptr;
+        /// Called with the head of each response as soon as it is complete,
+        /// also of interim ones, late duplicates and those that are cut off
+        /// later. May be empty.
+        std::function<void(const transport::http_response&)> on_head = nullptr;
     };
 
     /// State of the current response.
@@ -72,6 +77,7 @@
     void reset_parser();
     /// Parses as much of `bytes` as possible and returns its size.
     std::size_t parse(std::string_view bytes);
+    void report_head();
     void finish_response();
     void check_memory();
     void reject(response_fault fault);
@@ -79,6 +85,7 @@
     const options options_;
     std::string request_id_;
     bool is_head_ = false;
+    bool is_head_reported_ = false;
     std::optional<parser_type> parser_;
     std::string unparsed_;
     response_reservation reservation_;
--- a/packages/upstreams/src/response_reader.cpp
+++ b/packages/upstreams/src/response_reader.cpp
@@ -54,6 +54,7 @@
     parser_->body_limit(options_.max_body_bytes);
     parser_->eager(true);
     parser_->skip(is_head_);
+    is_head_reported_ = false;
     reservation_.release();
 }
 
@@ -91,6 +92,7 @@
         const auto count =
             parser_->put(asio::buffer(bytes.substr(used)), error);
         used += count;
+        report_head();
         if (error == http::error::need_more) {
             break;
         }
@@ -109,6 +111,17 @@
     return used;
 }
 
+void response_reader::report_head()
+{
+    if (is_head_reported_ || !parser_->is_header_done()) {
+        return;
+    }
+    is_head_reported_ = true;
+    if (options_.on_head) {
+        options_.on_head(parser_->get());
+    }
+}
+
 void response_reader::finish_response()
 {
     const auto& response = parser_->get();
--- a/packages/upstreams/tests/response_reader_test.cpp
+++ b/packages/upstreams/tests/response_reader_test.cpp
@@ -147,8 +147,34 @@
     }
 }
 
+/// What an upstream says of itself counts in every answer: interim ones, late
+/// duplicates, and heads whose body never arrives.
+void every_head_is_reported_once_and_at_once()
+{
+    std::vector<unsigned> heads;
+    response_reader reader(
+        {.request_id_field = "X-Id",
+         .on_head = [&](const transport::http_response& head) {
+             heads.push_back(head.result_int());
+         }});
+    reader.start("r", false);
+    reader.read("HTTP/1.1 103 Early Hints\r\n\r\n"
+                "HTTP/1.1 500 Late\r\nX-Id: earlier\r\n"
+                "Content-Length: 1\r\n\r\nx"
+                "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 9\r\n");
+    cr_assert(heads == (std::vector<unsigned>{103, 500}));
+    cr_assert(reader.read("\r\nonly") == response_reader::progress::incomplete);
+    cr_assert(heads == (std::vector<unsigned>{103, 500, 200}));
+    cr_assert(reader.read_end() == response_reader::progress::rejected);
+    cr_assert_eq(heads.size(), 3U);
+}
+
 } // namespace
 
+Test(response_reader, heads)
+{
+    every_head_is_reported_once_and_at_once();
+}
 Test(response_budget, small)
 {
     small_responses_need_no_reservation();
