policy: Send nothing to an upstream for as long as it asks

Change: upstream_notice reads the pause (seconds, with a fraction; anything else is counted, logged as E306 and ignored). upstream_pause keeps the latest end, spread a little over the nodes, and lets single requests through after it until one is answered. tracked_upstream::permission knows it, and so do the choice of a replica, hedges, the coverage that can still be reached, the pools and the relays. A fan-out whose least coverage cannot be reached is refused before anything is sent, as not executed in place of unknown; the Retry-After of such a 503 follows from the earliest return.

Before: with the notice ignored, gateway_test pause, leaving, only_upstream_leaving and leaving_behind_relay fail; with the pause ignored in the choice of an upstream, four tests of forward_coordinator_test fail (paused_*). After: all tests of the gateway pass, and the new ones of the policy, the notice and the pool.

--- a/packages/node/include/tamarackhoist/node/forwarding.hpp
+++ b/packages/node/include/tamarackhoist/node/forwarding.hpp
@@ -55,9 +55,11 @@
 /// Answers every open request with what is known of it, because the node stops.
 void end_requests(const forwarding& shared);
 
-/// Returns a 503 answer, which promises that the request was not executed,
-/// with a randomised Retry-After of 0.1 to 0.3 seconds.
-[[nodiscard]] callers::forward_answer make_not_executed_answer();
+/// Returns a 503 answer, which promises that the request was not executed, with
+/// a randomised Retry-After of 0.1 to 0.3 seconds after `earliest_return`, the
+/// time until an upstream takes requests again.
+[[nodiscard]] callers::forward_answer
+make_not_executed_answer(runtime::duration earliest_return = {});
 
 } // namespace tamarackhoist::node
 
--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <tamarackhoist/callers/forward_server.hpp>
 #include <tamarackhoist/node/forwarding.hpp>
@@ -82,6 +83,8 @@
     /// Reads what an upstream says of itself in the head of a response.
     void handle_head(policy::tracked_upstream& upstream,
                      const transport::http_response& head);
+    void pause_upstream(policy::tracked_upstream& upstream,
+                        runtime::duration length, runtime::time_point now);
     void apply_item(const platform::news_item& item);
     void apply_changes(const std::vector<policy::store_item>& items);
     void apply_snapshot(const std::vector<policy::store_item>& items,
@@ -101,6 +104,8 @@
     const gateway_settings settings_;
     const runtime::clock clock_;
     const std::uint64_t incarnation_;
+    /// Spreads the ends of pauses over the nodes.
+    std::minstd_rand random_;
     boost::asio::io_context io_context_{1};
     operators::metrics metrics_;
     policy::upstream_directory directory_;
--- a/packages/node/src/forwarded_request.cpp
+++ b/packages/node/src/forwarded_request.cpp
@@ -27,6 +27,17 @@
 /// Time allowed for a relay's first reply to arrive after its batching window.
 constexpr duration relay_reply_margin = std::chrono::milliseconds(12);
 
+/// Returns seconds with three decimals.
+std::string format_seconds(duration time)
+{
+    const auto all_ms =
+        std::chrono::ceil<std::chrono::milliseconds>(time).count();
+    constexpr std::int64_t ms_per_second = 1000;
+    const auto fraction =
+        std::to_string(ms_per_second + all_ms % ms_per_second);
+    return std::to_string(all_ms / ms_per_second) + "." + fraction.substr(1);
+}
+
 callers::forward_answer make_status_answer(http::status status)
 {
     callers::forward_answer answer;
@@ -38,7 +49,7 @@
 
 } // namespace
 
-callers::forward_answer make_not_executed_answer()
+callers::forward_answer make_not_executed_answer(duration earliest_return)
 {
     // Jitter spreads the retries of callers that were refused together.
     static thread_local std::minstd_rand random(std::random_device{}());
@@ -46,9 +57,10 @@
     constexpr int max_retry_after_ms = 300;
     std::uniform_int_distribution<int> spread(min_retry_after_ms,
                                               max_retry_after_ms);
-    const auto delay_ms = spread(random);
+    const auto delay =
+        earliest_return + std::chrono::milliseconds(spread(random));
     auto answer = make_status_answer(http::status::service_unavailable);
-    answer.fields.push_back({"Retry-After", "0." + std::to_string(delay_ms)});
+    answer.fields.push_back({"Retry-After", format_seconds(delay)});
     return answer;
 }
 
@@ -265,6 +277,7 @@
                                              shared_->clock.now());
         return;
     case upstreams::forward_status::withheld:
+        shared_->metrics.count({"tamarackhoist_requests_withheld_total", ""});
         return;
     }
 }
@@ -462,7 +475,7 @@
         return make_answer(
             *find_attempt(*coordinator_->last_failure()).response);
     case forward_outcome::not_executed:
-        return make_not_executed_answer();
+        return make_not_executed_answer(time_until_return());
     case forward_outcome::unknown:
         return make_status_answer(http::status::bad_gateway);
     case forward_outcome::timed_out:
@@ -476,6 +489,20 @@
                               route_.top_records, shared_->fields);
 }
 
+duration forwarded_request::time_until_return() const
+{
+    const auto now = shared_->clock.now();
+    std::optional<runtime::time_point> earliest;
+    for (std::size_t shard = 0; shard < coordinator_->shard_count(); ++shard) {
+        const auto next = shared_->directory.earliest_return(
+            coordinator_->service(shard), now);
+        if (next) {
+            earliest = std::min(earliest.value_or(*next), *next);
+        }
+    }
+    return runtime::non_negative(earliest.value_or(now) - now);
+}
+
 void forwarded_request::finish(forward_outcome outcome)
 {
     wake_timer_.cancel();
--- a/packages/node/src/forwarded_request.hpp
+++ b/packages/node/src/forwarded_request.hpp
@@ -84,6 +84,9 @@
                        upstreams::forward_result result);
     void finish(policy::forward_outcome outcome);
     void arm_wake_timer();
+    /// Returns the time until the first paused upstream of the request takes
+    /// requests again; zero if none is paused.
+    [[nodiscard]] runtime::duration time_until_return() const;
     [[nodiscard]] callers::forward_answer
     make_final_answer(policy::forward_outcome outcome) const;
     [[nodiscard]] running_attempt& find_attempt(policy::attempt_key key);
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -57,7 +57,10 @@
 gateway::gateway(gateway_settings settings, runtime::clock clock,
                  adapter platform_adapter, std::uint64_t incarnation)
     : settings_(std::move(settings)), clock_(std::move(clock)),
-      incarnation_(incarnation), directory_(make_directory_observer()),
+      incarnation_(incarnation),
+      random_(static_cast<std::minstd_rand::result_type>(
+          policy::hash_text(settings_.name))),
+      directory_(make_directory_observer()),
       context_(settings_.failure_domain,
                {.ratio = settings_.extra_attempt_ratio,
                 .allowance = 0.0,
@@ -532,9 +535,35 @@
                           const transport::http_response& head)
 {
     const auto notice = read_upstream_notice(head, forwarding_->fields);
+    const auto now = clock_.now();
     if (notice.is_leaving) {
         directory_.record_leaving(upstream);
     }
+    if (notice.pause) {
+        pause_upstream(upstream, *notice.pause, now);
+    } else if (transport::get_status_class(head) !=
+               http::status_class::informational) {
+        upstream.pause.record_answer(now);
+    }
+    if (notice.is_pause_malformed) {
+        metrics_.count({"tamarackhoist_malformed_pauses_total", ""});
+        runtime::log_line(event_number::upstream_pause_malformed)
+            .add("upstream", upstream.registration.id)
+            .add("service", upstream.registration.service);
+    }
+}
+
+void gateway::pause_upstream(policy::tracked_upstream& upstream,
+                             duration length, runtime::time_point now)
+{
+    std::uniform_real_distribution<double> spread(0.0, 1.0);
+    upstream.pause.extend(length, spread(random_), now);
+    metrics_.count({"tamarackhoist_upstream_pauses_total", ""});
+    runtime::log_line(event_number::upstream_paused)
+        .add("upstream", upstream.registration.id)
+        .add("service", upstream.registration.service)
+        .add("pause_ms", length);
+    pools_.apply_permission(upstream.registration);
 }
 
 policy::upstream_directory::observer gateway::make_directory_observer()
@@ -546,7 +575,7 @@
             .draining =
                 [this](const policy::tracked_upstream& upstream) {
                     const std::string reason =
-                        to_string(upstream.permission().reason);
+                        to_string(upstream.permission(clock_.now()).reason);
                     metrics_.count({"tamarackhoist_upstreams_leaving_total",
                                     "reason=\"" + reason + "\""});
                     runtime::log_line(event_number::upstream_draining)
--- a/packages/node/src/relayed_call.cpp
+++ b/packages/node/src/relayed_call.cpp
@@ -69,6 +69,9 @@
     }
     attempts_[index].is_open = false;
     --open_attempts_;
+    if (result.status == upstreams::forward_status::withheld) {
+        shared_->metrics.count({"tamarackhoist_requests_withheld_total", ""});
+    }
     peers::relay_part part;
     part.shard = request_.targets[index].shard;
     part.elapsed = shared_->clock.now() - started_;
--- a/packages/node/src/upstream_pools.cpp
+++ b/packages/node/src/upstream_pools.cpp
@@ -80,8 +80,12 @@
         .warm_connections =
             [this, upstream] { return warm_connection_count(upstream); },
         .may_send =
-            [handle] {
-                return handle->permission().is_granted();
+            [this, handle] {
+                return handle->permission(clock_.now()).is_granted();
+            },
+        .on_sent =
+            [this, handle] {
+                handle->pause.record_sent(clock_.now());
             }};
     const auto pool =
         std::make_shared<upstreams::forward_pool>(context_, clock_, options);
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -444,6 +444,48 @@
     cr_assert_eq(static_cast<std::size_t>(rejected), requests - connections);
 }
 
+/// A refusal that asks for a pause of 1.5 s.
+transport::http_response make_pausing_refusal(const received_request&)
+{
+    auto response = transport::make_response(http::status::service_unavailable,
+                                             {}, "text/plain");
+    response.set("X-Not-Run", "1");
+    response.set(http::field::retry_after, "1.5");
+    return response;
+}
+
+/// An only upstream asks for a pause. Requests are rejected at once meanwhile,
+/// with the time until it returns, and the return begins with single requests.
+void an_upstream_that_asks_for_a_pause_gets_no_requests()
+{
+    gateway_fixture fixture;
+    fixture.add_upstream("o1", "orders", "a", make_pausing_refusal);
+    fixture.set_routes(1, {make_order_route()});
+    const auto gateway = fixture.start_gateway("n", "a");
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    const auto started = std::chrono::steady_clock::now();
+    int number = 0;
+    while (std::chrono::steady_clock::now() - started < 1400ms) {
+        const auto response = fixture.send_request(
+            gateway, "/o/1", "r" + std::to_string(number++), "cake");
+        cr_assert(response.has_value());
+        cr_assert_eq(response->result_int(), 503U);
+        const auto elapsed = std::chrono::duration<double>(
+            std::chrono::steady_clock::now() - started);
+        const auto retry_after =
+            std::stod(std::string((*response)[http::field::retry_after]));
+        cr_assert(retry_after >= 1.5 - elapsed.count(), "%f", retry_after);
+        std::this_thread::sleep_for(10ms);
+    }
+    cr_assert_eq(fixture.received_requests().size(), 1U);
+    while (std::chrono::steady_clock::now() - started < 2000ms) {
+        static_cast<void>(fixture.send_request(
+            gateway, "/o/1", "r" + std::to_string(number++), "cake"));
+        std::this_thread::sleep_for(10ms);
+    }
+    cr_assert_eq(fixture.received_requests().size(), 2U);
+}
+
 transport::http_response make_leaving_answer(const received_request& received)
 {
     auto response = make_answer("d", "ordered " + received.body);
@@ -649,6 +691,10 @@
 {
     requests_queued_for_a_draining_upstream_are_not_sent_to_it();
 }
+Test(gateway, pause)
+{
+    an_upstream_that_asks_for_a_pause_gets_no_requests();
+}
 Test(gateway, leaving)
 {
     an_upstream_that_says_it_leaves_gets_no_more_requests();
--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -179,6 +179,8 @@
     void finish(forward_outcome outcome, runtime::time_point now);
     [[nodiscard]] static bool has_open_attempt(const shard_state& shard);
     [[nodiscard]] bool is_coverage_sufficient() const;
+    /// Whether the shards that are not exhausted can still give an answer.
+    [[nodiscard]] bool is_coverage_possible() const;
     [[nodiscard]] bool has_pending_shard() const;
     [[nodiscard]] forward_outcome failure_outcome() const;
 
--- a/packages/policy/include/tamarackhoist/policy/send_permission.hpp
+++ b/packages/policy/include/tamarackhoist/policy/send_permission.hpp
@@ -1,6 +1,9 @@
 #ifndef TAMARACKHOIST_POLICY_SEND_PERMISSION_HPP
 #define TAMARACKHOIST_POLICY_SEND_PERMISSION_HPP
 
+#include <optional>
+#include <tamarackhoist/runtime/time.hpp>
+
 namespace tamarackhoist::policy
 {
 
@@ -12,6 +15,8 @@
     draining,
     /// It has said in an answer that it leaves.
     leaving,
+    /// It has asked for a pause, or returns from one.
+    paused,
     /// Its registration was removed, or another incarnation has replaced it.
     gone
 };
@@ -22,6 +27,8 @@
 /// Whether this node may send requests to an upstream.
 struct send_permission {
     hold_reason reason = hold_reason::none;
+    /// When the upstream may get a request, if that is known.
+    std::optional<runtime::time_point> held_until = std::nullopt;
 
     [[nodiscard]] bool is_granted() const
     {
--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -11,6 +11,7 @@
 #include <tamarackhoist/policy/registered_upstream.hpp>
 #include <tamarackhoist/policy/send_permission.hpp>
 #include <tamarackhoist/policy/upstream_health.hpp>
+#include <tamarackhoist/policy/upstream_pause.hpp>
 #include <tamarackhoist/runtime/time.hpp>
 #include <vector>
 
@@ -31,12 +32,16 @@
     /// Set when this incarnation has said in an answer that it leaves. Its
     /// registration may not say so yet, or never.
     bool is_leaving = false;
+    /// Pause that this incarnation has asked for in an answer.
+    upstream_pause pause;
     /// Time at which the removal of the registration takes effect, if it is
     /// pending.
     std::optional<runtime::time_point> removal_due_at;
 
     /// Returns whether this node may send requests to the upstream.
-    [[nodiscard]] send_permission permission() const;
+    [[nodiscard]] send_permission permission(runtime::time_point now) const;
+    /// Returns whether the upstream takes no more requests, ever.
+    [[nodiscard]] bool is_withdrawn() const;
 };
 
 using upstream_handle = std::shared_ptr<tracked_upstream>;
@@ -93,8 +98,13 @@
     /// Returns when the next pending removal is due, if there is any.
     [[nodiscard]] std::optional<runtime::time_point> next_expiry() const;
 
-    /// Returns the upstreams of `service` that accept new requests. Valid until
-    /// the directory changes.
+    /// Returns the earliest time at which a paused upstream of `service` may
+    /// get a request, or nothing if one may get it now or none will.
+    [[nodiscard]] std::optional<runtime::time_point>
+    earliest_return(std::string_view service, runtime::time_point now) const;
+
+    /// Returns the upstreams of `service` that have not been withdrawn; some of
+    /// them may be paused. Valid until the directory changes.
     [[nodiscard]] std::span<const upstream_handle>
     find_ready(std::string_view service) const;
 
--- a/packages/policy/src/domain_reach.cpp
+++ b/packages/policy/src/domain_reach.cpp
@@ -149,6 +149,9 @@
         return true;
     }
     const auto is_reachable = [&](const upstream_handle& upstream) {
+        if (!upstream->permission(now).is_granted()) {
+            return false;
+        }
         const auto& domain = upstream->registration.failure_domain;
         return std::find(unreachable.begin(), unreachable.end(), domain) ==
                unreachable.end();
--- a/packages/policy/src/forward_context.cpp
+++ b/packages/policy/src/forward_context.cpp
@@ -159,6 +159,9 @@
             excluded.end()) {
             continue;
         }
+        if (!candidate->permission(now).is_granted()) {
+            continue;
+        }
         const auto seconds = expected_seconds(*candidate, typical, now);
         if (best == nullptr || seconds < best_seconds) {
             best = candidate;
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -44,17 +44,26 @@
 
 void forward_coordinator::start(time_point now)
 {
-    for (std::size_t index = 0; index < shards_.size(); ++index) {
-        auto& shard = shards_[index];
+    std::vector<upstream_handle> chosen;
+    chosen.reserve(shards_.size());
+    for (auto& shard : shards_) {
         context_.extra_attempts(shard.service).record_request(now);
-        const auto upstream = choose_upstream(shard, now);
-        if (upstream == nullptr) {
+        chosen.push_back(choose_upstream(shard, now));
+        if (chosen.back() == nullptr) {
             shard.is_exhausted = true;
             report_decision(decision_kind::no_replica_left, shard, nullptr,
                             now);
-            continue;
         }
-        send(index, upstream, false, now);
+    }
+    if (!is_coverage_possible()) {
+        // Nothing is sent, so the refusal can promise that nothing runs.
+        finish(forward_outcome::not_executed, now);
+        return;
+    }
+    for (std::size_t index = 0; index < shards_.size(); ++index) {
+        if (chosen[index] != nullptr) {
+            send(index, chosen[index], false, now);
+        }
     }
     finish_or_reschedule(now);
 }
@@ -339,6 +348,17 @@
     return route_.is_fan_out() && route_.has_min_coverage(answered_shards_);
 }
 
+bool forward_coordinator::is_coverage_possible() const
+{
+    const auto possible_shards =
+        std::count_if(shards_.begin(), shards_.end(), [](const auto& shard) {
+            return shard.winner || !shard.is_exhausted;
+        });
+    return route_.is_fan_out() ? route_.has_min_coverage(
+                                     static_cast<std::size_t>(possible_shards))
+                               : possible_shards > 0;
+}
+
 bool forward_coordinator::has_pending_shard() const
 {
     for (const auto& shard : shards_) {
@@ -384,17 +404,9 @@
         finish(failure_outcome(), now);
         return;
     }
-    if (route_.is_fan_out()) {
-        // Fail early if the exhausted shards make the minimum coverage
-        // unattainable.
-        std::size_t possible_shards = 0;
-        for (const auto& shard : shards_) {
-            possible_shards += shard.winner || !shard.is_exhausted ? 1 : 0;
-        }
-        if (!route_.has_min_coverage(possible_shards)) {
-            finish(failure_outcome(), now);
-            return;
-        }
+    if (!is_coverage_possible()) {
+        finish(failure_outcome(), now);
+        return;
     }
     if (now >= times_.deadline) {
         finish(forward_outcome::timed_out, now);
--- a/packages/policy/src/send_permission.cpp
+++ b/packages/policy/src/send_permission.cpp
@@ -12,6 +12,8 @@
         return "draining";
     case hold_reason::leaving:
         return "leaving";
+    case hold_reason::paused:
+        return "paused";
     case hold_reason::gone:
         return "gone";
     }
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -8,7 +8,12 @@
 
 using runtime::time_point;
 
-send_permission tracked_upstream::permission() const
+bool tracked_upstream::is_withdrawn() const
+{
+    return is_gone || registration.is_draining || is_leaving;
+}
+
+send_permission tracked_upstream::permission(time_point now) const
 {
     if (is_gone) {
         return {hold_reason::gone};
@@ -19,6 +24,9 @@
     if (is_leaving) {
         return {hold_reason::leaving};
     }
+    if (const auto until = pause.held_until(now)) {
+        return {hold_reason::paused, until};
+    }
     return {};
 }
 
@@ -53,12 +61,12 @@
         observer_.added(current);
         return;
     }
-    const bool took_requests = current->permission().is_granted();
+    const bool was_withdrawn = current->is_withdrawn();
     current->registration = entry;
     current->warm_at = now + entry.warm_up_left;
     current->removal_due_at.reset();
     rebuild_ready_list(entry.service);
-    if (took_requests && !current->permission().is_granted()) {
+    if (!was_withdrawn && current->is_withdrawn()) {
         observer_.draining(*current);
     }
 }
@@ -96,9 +104,9 @@
 
 void upstream_directory::record_leaving(tracked_upstream& upstream)
 {
-    const bool took_requests = upstream.permission().is_granted();
+    const bool was_withdrawn = upstream.is_withdrawn();
     upstream.is_leaving = true;
-    if (took_requests) {
+    if (!was_withdrawn) {
         rebuild_ready_list(upstream.registration.service);
         observer_.draining(upstream);
     }
@@ -162,6 +170,25 @@
     return found->second;
 }
 
+std::optional<time_point>
+upstream_directory::earliest_return(std::string_view service,
+                                    time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const auto& upstream : find_ready(service)) {
+        const auto permission = upstream->permission(now);
+        if (permission.is_granted()) {
+            return std::nullopt;
+        }
+        if (!permission.held_until) {
+            continue;
+        }
+        earliest = std::min(earliest.value_or(*permission.held_until),
+                            *permission.held_until);
+    }
+    return earliest;
+}
+
 void upstream_directory::remove_now(const std::string& id)
 {
     const auto found = by_id_.find(id);
@@ -178,7 +205,7 @@
     ready.clear();
     for (const auto& [id, upstream] : by_id_) {
         if (upstream->registration.service != service ||
-            !upstream->permission().is_granted()) {
+            upstream->is_withdrawn()) {
             continue;
         }
         ready.push_back(upstream);
--- a/packages/policy/tests/forward_coordinator_test.cpp
+++ b/packages/policy/tests/forward_coordinator_test.cpp
@@ -177,6 +177,64 @@
     cr_assert(order.outcomes == std::vector{forward_outcome::unknown});
 }
 
+/// The upstreams of two of four shards have asked for a pause, so the least
+/// coverage can't be reached. Nothing is sent, and the refusal says so.
+void a_fan_out_that_cannot_be_covered_is_refused_before_it_is_sent()
+{
+    node_fixture node(4);
+    for (const auto* service : {"s1", "s2"}) {
+        for (const auto& each : node.directory.find_ready(service)) {
+            each->pause.extend(4s, 0.0, start_of_test);
+        }
+    }
+    request_fixture request(node, node.fan_out_route(4));
+    cr_assert(request.sent.empty());
+    cr_assert(request.outcomes == std::vector{forward_outcome::not_executed});
+}
+
+/// One shard of four may be missing, and neither its first attempt nor a hedge
+/// goes to an upstream that has asked for a pause.
+void a_paused_shard_counts_as_missing()
+{
+    node_fixture node(4);
+    for (const auto& each : node.directory.find_ready("s1")) {
+        each->pause.extend(4s, 0.0, start_of_test);
+    }
+    request_fixture request(node, node.fan_out_route(4));
+    cr_assert_eq(request.attempt_count(1), 0U);
+    request.advance_time(10ms);
+    request.answer_first_attempts_except(99);
+    cr_assert(request.outcomes == std::vector{forward_outcome::partial});
+}
+
+/// The upstream of the own failure domain is preferred, but has asked for a
+/// pause.
+void requests_go_elsewhere_during_a_pause()
+{
+    node_fixture node(1);
+    for (const auto& each : node.directory.find_ready("s0")) {
+        if (each->registration.failure_domain == "a") {
+            each->pause.extend(4s, 0.0, start_of_test);
+        }
+    }
+    request_fixture order(
+        node, node.single_route(policy::repeatability::at_most_once));
+    cr_assert_eq(order.sent.size(), 1U);
+    cr_assert_eq(order.sent.front().upstream, "s0b");
+}
+
+void no_hedge_goes_to_a_paused_upstream()
+{
+    node_fixture node(4);
+    request_fixture request(node, node.fan_out_route(4));
+    request.answer_first_attempts_except(1);
+    for (const auto& each : node.directory.find_ready("s1")) {
+        each->pause.extend(4s, 0.0, start_of_test);
+    }
+    request.advance_time(80ms);
+    cr_assert_eq(request.attempt_count(1), 1U);
+}
+
 void answers_from_all_shards_complete_the_request()
 {
     node_fixture node(4);
@@ -508,6 +566,22 @@
 
 } // namespace
 
+Test(forward_coordinator, paused_shards)
+{
+    a_fan_out_that_cannot_be_covered_is_refused_before_it_is_sent();
+}
+Test(forward_coordinator, paused_shard)
+{
+    a_paused_shard_counts_as_missing();
+}
+Test(forward_coordinator, paused_elsewhere)
+{
+    requests_go_elsewhere_during_a_pause();
+}
+Test(forward_coordinator, paused_hedge)
+{
+    no_hedge_goes_to_a_paused_upstream();
+}
 Test(forward_coordinator, ended_early)
 {
     a_request_that_is_ended_early_gets_what_is_known();
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -228,7 +228,8 @@
     fixture.directory.record_leaving(*leaving);
     fixture.directory.record_leaving(*leaving);
     cr_assert(fixture.directory.find_ready("s").empty());
-    cr_assert(leaving->permission().reason == hold_reason::leaving);
+    cr_assert(leaving->permission(start_of_test).reason ==
+              hold_reason::leaving);
     entry.revision = 2;
     fixture.directory.put(entry, start_of_test);
     cr_assert(fixture.directory.find_ready("s").empty(),
@@ -248,6 +249,33 @@
                  "a late answer of the old incarnation");
 }
 
+/// The pause that an upstream has asked for ends with its incarnation.
+void a_paused_upstream_returns_at_the_end_of_its_pause()
+{
+    using policy::hold_reason;
+    directory_fixture fixture;
+    auto entry = fixture.make_entry("u", 1);
+    fixture.directory.put(entry, start_of_test);
+    const auto paused = fixture.directory.find_ready("s").front();
+    cr_assert(!fixture.directory.earliest_return("s", start_of_test));
+    paused->pause.extend(4s, 0.0, start_of_test);
+    cr_assert(paused->permission(start_of_test).reason == hold_reason::paused);
+    cr_assert(fixture.directory.earliest_return("s", start_of_test) ==
+              start_of_test + 4s);
+    fixture.directory.put(fixture.make_entry("v", 1), start_of_test);
+    cr_assert(!fixture.directory.earliest_return("s", start_of_test),
+              "another upstream takes requests now");
+    entry.revision = 2;
+    fixture.directory.put(entry, start_of_test);
+    cr_assert(!paused->permission(start_of_test).is_granted());
+    entry.revision = 3;
+    entry.started_at = 2;
+    fixture.directory.put(entry, start_of_test);
+    for (const auto& each : fixture.directory.find_ready("s")) {
+        cr_assert(each->permission(start_of_test).is_granted());
+    }
+}
+
 void older_revisions_are_ignored()
 {
     directory_fixture fixture;
@@ -271,11 +299,11 @@
     entry.revision = 2;
     entry.is_draining = true;
     fixture.directory.put(entry, start_of_test);
-    cr_assert(!upstream->permission().is_granted());
+    cr_assert(!upstream->permission(start_of_test).is_granted());
     entry.revision = 3;
     entry.is_draining = false;
     fixture.directory.put(entry, start_of_test);
-    cr_assert(upstream->permission().is_granted());
+    cr_assert(upstream->permission(start_of_test).is_granted());
     cr_assert_eq(fixture.directory.find_ready("s").size(), 1U);
 }
 
@@ -366,6 +394,10 @@
 {
     a_draining_upstream_gets_no_new_requests();
 }
+Test(upstream_directory, paused)
+{
+    a_paused_upstream_returns_at_the_end_of_its_pause();
+}
 Test(upstream_directory, leaving)
 {
     an_upstream_that_says_it_leaves_gets_no_new_requests();
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -32,6 +32,8 @@
     upstream_added = 302,
     upstream_gone = 303,
     upstream_response_rejected = 304,
+    upstream_paused = 305,
+    upstream_pause_malformed = 306,
     peer_connection_failed = 400,
     peer_message_rejected = 401,
     member_joined = 410,
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_pool.hpp
@@ -36,6 +36,8 @@
         /// Returns whether the upstream may get requests now. Empty if it
         /// always may.
         std::function<bool()> may_send = nullptr;
+        /// Called when a request is sent; may be empty.
+        std::function<void()> on_sent = nullptr;
     };
 
     forward_pool(boost::asio::io_context& context, runtime::clock clock,
--- a/packages/upstreams/src/forward_pool.cpp
+++ b/packages/upstreams/src/forward_pool.cpp
@@ -106,7 +106,7 @@
 void forward_pool::dispatch()
 {
     apply_permission();
-    while (!waiting_.empty()) {
+    while (!waiting_.empty() && may_send()) {
         const auto use = waiting_.front().use;
         auto* idle = find_idle(use);
         if (idle == nullptr) {
@@ -116,6 +116,8 @@
         waiting_.pop_front();
         start_exchange(*idle, std::move(request));
     }
+    // A request that was just sent may have been the only one allowed for now.
+    apply_permission();
     while (connecting_count_ < waiting_.size()) {
         if (connection_count() < options_.max_connections()) {
             open_connection();
@@ -138,6 +140,9 @@
 void forward_pool::start_exchange(pooled_connection& slot,
                                   waiting_request request)
 {
+    if (options_.on_sent) {
+        options_.on_sent();
+    }
     slot.exchange = request.id;
     const auto* connection = slot.connection.get();
     auto self = shared_from_this();
