peers: Deliver calls between nodes soon or not at all

Cause: the time left that a call states is relative, and nothing bounded how long TCP held the call up. Closing the link of a peer that was declared dead did not help, as TCP goes on sending after a close. Ruled out: the deadline at the relay (it is kept, counted from the late arrival) and membership (the peer was declared dead and its link was closed).

Change: connections between nodes close when bytes stay unacknowledged for 1.5 s; a link that is closed discards what it holds; idle connections are probed. socket_options holds what forward_connection had of its own.

--- a/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
+++ b/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
@@ -90,7 +90,8 @@
     /// Server: ends the replies of a call.
     void finish(stream_id stream);
 
-    /// Closes the connection; open calls end with `is_clean` false.
+    /// Closes the connection; open calls end with `is_clean` false. What the
+    /// peer has not received yet is discarded.
     void close();
 
 private:
--- a/packages/peers/src/http2_channel.cpp
+++ b/packages/peers/src/http2_channel.cpp
@@ -9,6 +9,7 @@
 #include <cassert>
 #include <cstring>
 #include <nghttp2/nghttp2.h>
+#include <tamarackhoist/transport/socket_options.hpp>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,9 @@
 namespace
 {
 
+/// Messages between nodes state the time that is left for them, which is wrong
+/// if they arrive late. So they arrive within this time or not at all.
+constexpr auto unacknowledged_timeout = std::chrono::milliseconds(1500);
 constexpr std::size_t length_prefix_bytes = 4;
 constexpr std::uint32_t max_concurrent_streams = 65536;
 constexpr std::int32_t flow_control_window_bytes = 1024 * 1024;
@@ -173,6 +177,8 @@
                              server_events events)
     : socket_(std::move(socket)), role_(side), server_events_(std::move(events))
 {
+    transport::limit_unacknowledged_time(socket_, unacknowledged_timeout);
+    transport::probe_when_idle(socket_);
     create_session();
 }
 
@@ -381,7 +387,10 @@
 void http2_channel::close()
 {
     auto self = shared_from_this();
-    asio::post(socket_.get_executor(), [self] { self->close_now(); });
+    asio::post(socket_.get_executor(), [self] {
+        transport::close_and_discard(self->socket_);
+        self->close_now();
+    });
 }
 
 bool http2_channel::receive(stream_state& stream, std::string_view bytes)
--- a/packages/upstreams/src/forward_connection.cpp
+++ b/packages/upstreams/src/forward_connection.cpp
@@ -5,10 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <cassert>
 #include <charconv>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <tamarackhoist/transport/read_available.hpp>
+#include <tamarackhoist/transport/socket_options.hpp>
 
 namespace tamarackhoist::upstreams
 {
@@ -23,7 +21,7 @@
 {
 
 /// TCP closes the connection once sent data stays unacknowledged this long.
-constexpr int unacknowledged_timeout_ms = 2500;
+constexpr auto unacknowledged_timeout = 2500ms;
 /// An idle connection counts as stale this long before the upstream's idle
 /// timeout, so that the upstream doesn't close it under a new request.
 constexpr runtime::duration idle_timeout_margin = 500ms;
@@ -99,8 +97,7 @@
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
-    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                 &unacknowledged_timeout_ms, sizeof(unacknowledged_timeout_ms));
+    transport::limit_unacknowledged_time(socket_, unacknowledged_timeout);
 }
 
 bool forward_connection::is_stale() const
