node: Confirm news after the store has dropped its history

After a 410, the reader of a failure domain no longer confirmed to its peers that nothing had changed, and they read the store as well.

Cause: store_sync marked the store as unreachable on any loss, and the mark is taken back by the next success after a failure only; a 410 is no failure.

Change: the mark is set only if the store gave no usable answer.

Before: gateway_test store_calls_after_lost_history failed: the other gateway called the store within 4 s. After: it passes.

--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -79,7 +79,11 @@
                 },
             .lost =
                 [this](platform::store_error error) {
-                    is_store_unreachable_ = true;
+                    // In the other cases the store has answered, and all items
+                    // are listed next.
+                    is_store_unreachable_ =
+                        error == platform::store_error::unavailable ||
+                        error == platform::store_error::refused;
                     runtime::log_line(event_number::platform_read_failed)
                         .add("reason", platform::to_string(error))
                         .add("revision", revision_)
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -39,6 +39,13 @@
     }
 
     void set_available(bool is_available) { is_available_ = is_available; }
+    /// Drops the history: the next watch of each client is told to list again.
+    void drop_history()
+    {
+        for (auto& each : has_lost_history_) {
+            each = true;
+        }
+    }
     [[nodiscard]] int call_count() const
     {
         return std::accumulate(calls_.begin(), calls_.end(), 0);
@@ -92,6 +99,10 @@
             if (error || is_cut_off_.at(client)) {
                 return;
             }
+            if (after > 0 && has_lost_history_.at(client).exchange(false)) {
+                handle(platform::store_error::history_lost);
+                return;
+            }
             if (!is_available_) {
                 handle(platform::store_error::unavailable);
                 return;
@@ -122,6 +133,7 @@
     std::atomic<std::size_t> client_count_{0};
     std::array<std::atomic<int>, max_clients> calls_{};
     std::array<std::atomic<bool>, max_clients> is_cut_off_{};
+    std::array<std::atomic<bool>, max_clients> has_lost_history_{};
 };
 
 /// A request that a fake upstream received.
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -337,6 +337,23 @@
     }));
 }
 
+/// A reader that has listed all items again goes on confirming to its peers
+/// that nothing has changed, so that they need not read the store as well.
+void one_node_calls_the_store_after_its_history_was_dropped()
+{
+    gateway_fixture fixture;
+    add_shards(fixture);
+    const auto first = fixture.start_gateway("first", "a");
+    const auto second = fixture.start_gateway("second", "a");
+    cr_assert(fixture.wait_until(
+        [&] { return fixture.is_ready(first) && fixture.is_ready(second); }));
+    const auto reader = find_store_reader(fixture);
+    const auto other_calls = fixture.store.call_count(1 - reader);
+    fixture.store.drop_history();
+    std::this_thread::sleep_for(4s);
+    cr_assert_eq(fixture.store.call_count(1 - reader), other_calls);
+}
+
 void a_node_that_shuts_down_answers_pending_requests()
 {
     gateway_fixture fixture;
@@ -711,6 +728,10 @@
 {
     requests_that_wait_for_an_upstream_are_answered_at_a_stop();
 }
+Test(gateway, store_calls_after_lost_history)
+{
+    one_node_calls_the_store_after_its_history_was_dropped();
+}
 Test(gateway, shutdown)
 {
     a_node_that_shuts_down_answers_pending_requests();
