--- a/packages/node/include/tamarackhoist/node/forwarding.hpp
+++ b/packages/node/include/tamarackhoist/node/forwarding.hpp
@@ -42,7 +42,7 @@
     relay_client* relays = nullptr;
     /// Requests that exist, including those that have ended and whose last
     /// handlers are still to be called.
-    std::set<forwarded_request*> requests;
+    std::set<forwarded_request*> requests = {};
 };
 
 /// Forwards one request and answers it. `routes` is the table that contains
