node: Tell the caller's node what an upstream has said to a relay

A relay reads the answers of upstreams that another node has chosen. That node did not learn that one leaves or has asked for a pause, chose it again, spent an attempt on a refusal of the relay each time, and could send to it directly when the relay failed.

Change: a part of a relay's reply carries what the upstream has said, for its incarnation; the node that receives it records it as if it had read it itself.

Tests: forwarding_state_test passed_on and the round trip of forward_codec_test, which need the new field; gateway_test leaving_behind_relay still passes. Some ten bytes a part, and only while an upstream is held.

--- a/packages/node/include/tamarackhoist/node/forwarding.hpp
+++ b/packages/node/include/tamarackhoist/node/forwarding.hpp
@@ -30,7 +30,7 @@
     /// One-way network delay between a caller and this node.
     runtime::duration caller_delay;
     policy::forward_context& context;
-    const policy::upstream_directory& directory;
+    policy::upstream_directory& directory;
     policy::domain_reach& reach;
     operators::metrics& metrics;
     /// Returns the connection pool of an upstream, or nullptr if the upstream
--- a/packages/node/src/forwarded_request_relay.cpp
+++ b/packages/node/src/forwarded_request_relay.cpp
@@ -79,10 +79,15 @@
             std::find_if(keys.begin(), keys.end(), [&](attempt_key each) {
                 return each.shard == part.shard;
             });
-        if (key != keys.end()) {
-            coordinator_->record_attempt_end(*key, part.result,
-                                             part.elapsed + overhead, now);
+        if (key == keys.end()) {
+            continue;
+        }
+        if (part.hold) {
+            shared_->directory.record_hold(coordinator_->upstream_id(*key),
+                                           *part.hold, now);
         }
+        coordinator_->record_attempt_end(*key, part.result,
+                                         part.elapsed + overhead, now);
     }
     apply_decisions();
 }
--- a/packages/node/src/relayed_call.cpp
+++ b/packages/node/src/relayed_call.cpp
@@ -76,6 +76,8 @@
     part.shard = request_.targets[index].shard;
     part.elapsed = shared_->clock.now() - started_;
     part.result = classify(result, shared_->fields, true);
+    part.hold = shared_->directory.find_hold(request_.targets[index].upstream,
+                                             shared_->clock.now());
     if (part.result != attempt_result::answered) {
         // A failure is not batched: the calling node can retry on another
         // replica at once.
--- a/packages/peers/include/tamarackhoist/peers/relay_codec.hpp
+++ b/packages/peers/include/tamarackhoist/peers/relay_codec.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <tamarackhoist/policy/forward_coordinator.hpp>
+#include <tamarackhoist/policy/upstream_directory.hpp>
 #include <vector>
 
 /// Encoding of the calls by which nodes delegate parts of a fan-out to each
@@ -52,6 +53,8 @@
     std::string digest;
     /// Time from the receipt of the call to the end of the attempt.
     runtime::duration elapsed{};
+    /// What the upstream has said of itself, if it wants no requests.
+    std::optional<policy::upstream_hold> hold = std::nullopt;
 
     bool operator==(const relay_part&) const = default;
 };
--- a/packages/peers/src/relay_codec.cpp
+++ b/packages/peers/src/relay_codec.cpp
@@ -61,6 +61,12 @@
         part->set_result(static_cast<std::uint32_t>(source.result));
         part->set_digest(source.digest);
         part->set_elapsed_us(to_microseconds(source.elapsed));
+        if (source.hold) {
+            auto* hold = part->mutable_hold();
+            hold->set_started_at(source.hold->started_at);
+            hold->set_is_leaving(source.hold->is_leaving);
+            hold->set_pause_left_us(to_microseconds(source.hold->pause_left));
+        }
     }
     encoded.set_records(reply.records);
     encoded.set_sent_after_us(to_microseconds(reply.sent_after));
@@ -84,6 +90,12 @@
             {part.shard(), static_cast<policy::attempt_result>(part.result()),
              std::move(*part.mutable_digest()),
              from_microseconds(part.elapsed_us())});
+        if (part.has_hold()) {
+            const auto& hold = part.hold();
+            reply.parts.back().hold =
+                policy::upstream_hold{hold.started_at(), hold.is_leaving(),
+                                      from_microseconds(hold.pause_left_us())};
+        }
     }
     reply.records = std::move(*encoded.mutable_records());
     reply.sent_after = from_microseconds(encoded.sent_after_us());
--- a/packages/peers/tests/forward_codec_test.cpp
+++ b/packages/peers/tests/forward_codec_test.cpp
@@ -43,7 +43,12 @@
 {
     peers::relay_reply reply;
     reply.parts = {{3, policy::attempt_result::answered, "digest", 5ms},
-                   {4, policy::attempt_result::broken, {}, 6ms}};
+                   {4, policy::attempt_result::broken, {}, 6ms},
+                   {5,
+                    policy::attempt_result::not_executed,
+                    {},
+                    7ms,
+                    policy::upstream_hold{77, true, 1500ms}}};
     reply.records = std::string(32, '\xfe');
     reply.sent_after = 7ms;
     const auto decoded =
--- a/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
+++ b/packages/policy/include/tamarackhoist/policy/forward_coordinator.hpp
@@ -119,6 +119,8 @@
 
     /// Returns a summary of the attempts for `shard` so far, for the log.
     [[nodiscard]] attempt_summary last_attempt(std::size_t shard) const;
+    /// Returns the id of the upstream that an attempt was made at.
+    [[nodiscard]] const std::string& upstream_id(attempt_key key) const;
     /// Returns the attempt that answered for `shard`, if any.
     [[nodiscard]] std::optional<attempt_key> winner(std::size_t shard) const;
     /// Returns the last attempt that ended with `attempt_result::failed`, if
--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -46,6 +46,18 @@
 
 using upstream_handle = std::shared_ptr<tracked_upstream>;
 
+/// What one incarnation of an upstream has said of itself in its answers, to
+/// tell other nodes.
+struct upstream_hold {
+    /// `registered_upstream::started_at`.
+    std::uint64_t started_at = 0;
+    bool is_leaving = false;
+    /// Time that is left of the pause that the upstream has asked for.
+    runtime::duration pause_left{};
+
+    bool operator==(const upstream_hold&) const = default;
+};
+
 /// The registered upstreams by service. While the store is unavailable,
 /// registrations may lapse although their upstreams are alive. They are
 /// therefore kept for a grace period after the store has recovered.
@@ -86,6 +98,16 @@
     /// Records that `upstream` has said in an answer that it leaves.
     void record_leaving(tracked_upstream& upstream);
 
+    /// Returns what the upstream `id` has said of itself, if it wants no
+    /// requests.
+    [[nodiscard]] std::optional<upstream_hold>
+    find_hold(std::string_view id, runtime::time_point now) const;
+
+    /// Records what the upstream `id` has said of itself to another node.
+    /// Ignored for another incarnation.
+    void record_hold(std::string_view id, const upstream_hold& hold,
+                     runtime::time_point now);
+
     /// Extends the grace period to `until`, unless it already ends later.
     void extend_grace(runtime::time_point until);
 
--- a/packages/policy/src/forward_coordinator.cpp
+++ b/packages/policy/src/forward_coordinator.cpp
@@ -459,6 +459,11 @@
     return summary;
 }
 
+const std::string& forward_coordinator::upstream_id(attempt_key key) const
+{
+    return shards_[key.shard].attempts[key.attempt].upstream->registration.id;
+}
+
 std::optional<attempt_key> forward_coordinator::winner(std::size_t shard) const
 {
     if (!shards_[shard].winner) {
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -112,6 +112,39 @@
     }
 }
 
+std::optional<upstream_hold> upstream_directory::find_hold(std::string_view id,
+                                                           time_point now) const
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) {
+        return std::nullopt;
+    }
+    const auto& upstream = *found->second;
+    const auto until = upstream.pause.held_until(now);
+    if (!upstream.is_leaving && !until) {
+        return std::nullopt;
+    }
+    return upstream_hold{upstream.registration.started_at, upstream.is_leaving,
+                         until.value_or(now) - now};
+}
+
+void upstream_directory::record_hold(std::string_view id,
+                                     const upstream_hold& hold, time_point now)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end() ||
+        found->second->registration.started_at != hold.started_at) {
+        return;
+    }
+    const auto upstream = found->second;
+    if (hold.pause_left > runtime::duration::zero()) {
+        upstream->pause.extend(hold.pause_left, 0.0, now);
+    }
+    if (hold.is_leaving) {
+        record_leaving(*upstream);
+    }
+}
+
 void upstream_directory::extend_grace(time_point until)
 {
     grace_until_ = std::max(grace_until_, until);
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -276,6 +276,37 @@
     }
 }
 
+/// A relay reads the answers of upstreams that another node has chosen. What
+/// they say of themselves holds on that node as well.
+void what_an_upstream_says_is_passed_on_for_its_incarnation()
+{
+    directory_fixture relay;
+    directory_fixture caller;
+    for (auto* each : {&relay, &caller}) {
+        each->directory.put(each->make_entry("u", 1), start_of_test);
+        each->directory.put(each->make_entry("v", 1), start_of_test);
+    }
+    cr_assert(!relay.directory.find_hold("u", start_of_test));
+    cr_assert(!relay.directory.find_hold("unknown", start_of_test));
+    for (const auto& each : relay.directory.find_ready("s")) {
+        if (each->registration.id == "v") {
+            each->pause.extend(4s, 0.0, start_of_test);
+        }
+    }
+    const auto paused = relay.directory.find_hold("v", start_of_test + 1s);
+    cr_assert(paused && paused->pause_left == 3s && !paused->is_leaving);
+    caller.directory.record_hold("v", *paused, start_of_test + 1s);
+    const policy::upstream_hold leaving{1, true, {}};
+    caller.directory.record_hold("u", {2, true, {}}, start_of_test);
+    cr_assert_eq(caller.directory.find_ready("s").size(), 2U,
+                 "another incarnation");
+    caller.directory.record_hold("u", leaving, start_of_test);
+    cr_assert_eq(caller.directory.find_ready("s").size(), 1U);
+    cr_assert(caller.directory.find_hold("u", start_of_test) == leaving);
+    cr_assert(caller.directory.earliest_return("s", start_of_test + 1s) ==
+              start_of_test + 4s);
+}
+
 void older_revisions_are_ignored()
 {
     directory_fixture fixture;
@@ -398,6 +429,10 @@
 {
     a_paused_upstream_returns_at_the_end_of_its_pause();
 }
+Test(upstream_directory, passed_on)
+{
+    what_an_upstream_says_is_passed_on_for_its_incarnation();
+}
 Test(upstream_directory, leaving)
 {
     an_upstream_that_says_it_leaves_gets_no_new_requests();
