policy: Keep removed items removed after a list without tombstones

After the store has dropped its history, all items are listed, and the list has no tombstones.

Cause: store_sync compared an item that it did not know with revision 0.

Change: policy::store_copy holds the items, split from store_sync. It remembers the revision of the latest list: an older item that was not in the list has been removed.

--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -4,15 +4,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
-#include <string>
 #include <tamarackhoist/node/peer_group.hpp>
 #include <tamarackhoist/peers/store_update_codec.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
 #include <tamarackhoist/policy/news_role.hpp>
-#include <tamarackhoist/policy/store_item.hpp>
+#include <tamarackhoist/policy/store_copy.hpp>
 #include <tamarackhoist/runtime/clock.hpp>
 #include <vector>
 
@@ -89,12 +87,10 @@
     /// Position of this node in the order in which the nodes of its failure
     /// domain take over following the service.
     std::size_t rank_ = 0;
-    std::map<std::string, policy::store_item> items_;
-    std::uint64_t revision_ = 0;
+    policy::store_copy copy_;
     std::optional<runtime::time_point> peer_confirmed_at_;
     runtime::time_point last_push_at_{};
     runtime::time_point last_pull_at_{};
-    bool is_complete_ = false;
     bool is_store_unreachable_ = false;
 };
 
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -63,7 +63,7 @@
             .changed =
                 [this](const std::vector<store_item>& items,
                        std::uint64_t revision) {
-                    const auto previous_revision = revision_;
+                    const auto previous_revision = copy_.revision();
                     merge_items(items, revision);
                     // Also without changes: the peers learn at once that the
                     // service has confirmed what they know.
@@ -73,7 +73,7 @@
                 [this] {
                     is_store_unreachable_ = false;
                     runtime::log_line(event_number::platform_regained)
-                        .add("revision", revision_);
+                        .add("revision", copy_.revision());
                     hooks_.extend_grace(
                         policy::upstream_directory::lapsed_registration_grace);
                 },
@@ -86,7 +86,7 @@
                         error == platform::store_error::refused;
                     runtime::log_line(event_number::platform_read_failed)
                         .add("reason", platform::to_string(error))
-                        .add("revision", revision_)
+                        .add("revision", copy_.revision())
                         .add("news_age_ms", confirmation_age());
                 }};
 }
@@ -141,11 +141,11 @@
     update_role();
     pull_if_incomplete();
     const auto now = clock_.now();
-    const bool is_recent = is_complete_ && follower_->is_following() &&
+    const bool is_recent = copy_.is_complete() && follower_->is_following() &&
                            !is_store_unreachable_ &&
                            confirmation_age() <= limits_.max_age;
     if (is_recent && now - last_push_at_ >= push_interval) {
-        push_to_peers({}, revision_);
+        push_to_peers({}, copy_.revision());
     }
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](boost::system::error_code error) {
@@ -158,7 +158,7 @@
 void store_sync::update_role()
 {
     const bool should_follow =
-        role_.should_follow_service(rank_, is_complete_, clock_.now());
+        role_.should_follow_service(rank_, copy_.is_complete(), clock_.now());
     if (should_follow == follower_->is_following()) {
         return;
     }
@@ -176,15 +176,7 @@
 void store_sync::merge_items(const std::vector<store_item>& items,
                              std::uint64_t revision)
 {
-    std::vector<store_item> newer;
-    for (const auto& item : items) {
-        auto& current = items_[item.key];
-        if (current.revision < item.revision) {
-            current = item;
-            newer.push_back(item);
-        }
-    }
-    revision_ = std::max(revision_, revision);
+    const auto newer = copy_.merge(items, revision);
     if (!newer.empty()) {
         hooks_.on_changes(newer);
     }
@@ -193,37 +185,17 @@
 void store_sync::replace_items(const std::vector<store_item>& items,
                                std::uint64_t revision)
 {
-    // A push may overtake the pages of a list: items that are newer than the
-    // list are kept.
-    std::map<std::string, store_item> next;
-    for (const auto& item : items) {
-        next[item.key] = item;
-    }
-    for (auto& [key, current] : items_) {
-        const auto found = next.find(key);
-        const auto listed =
-            found != next.end() ? found->second.revision : revision;
-        if (current.revision > listed) {
-            next[key] = current;
-        }
-    }
-    items_ = std::move(next);
-    revision_ = std::max(revision_, revision);
-    is_complete_ = true;
-    hooks_.on_snapshot(make_snapshot().items, revision);
+    copy_.replace(items, revision);
+    hooks_.on_snapshot(copy_.items(), revision);
 }
 
 peers::store_update store_sync::make_snapshot() const
 {
     peers::store_update news;
     news.sender = peers_->self().name;
-    news.revision = revision_;
+    news.revision = copy_.revision();
     news.age = confirmation_age();
-    for (const auto& [key, item] : items_) {
-        if (!item.is_removed) {
-            news.items.push_back(item);
-        }
-    }
+    news.items = copy_.items();
     return news;
 }
 
@@ -234,7 +206,7 @@
     peers::store_update news;
     news.sender = peers_->self().name;
     news.after_revision = after_revision;
-    news.revision = revision_;
+    news.revision = copy_.revision();
     news.age = confirmation_age();
     news.grace = hooks_.grace_left();
     news.items = items;
@@ -248,7 +220,7 @@
 
 void store_sync::pull_if_incomplete()
 {
-    if (is_complete_ || clock_.now() - last_pull_at_ < pull_interval) {
+    if (copy_.is_complete() || clock_.now() - last_pull_at_ < pull_interval) {
         return;
     }
     // A pull from another failure domain causes traffic between domains, but
@@ -282,7 +254,7 @@
 void store_sync::handle_call(const std::shared_ptr<peers::incoming_call>& call)
 {
     if (call->path() == peers::call_path::store_pull) {
-        if (is_complete_) {
+        if (copy_.is_complete()) {
             auto news = make_snapshot();
             news.grace = hooks_.grace_left();
             call->reply(peers::encode_store_update(news));
@@ -304,7 +276,8 @@
 {
     const auto now = clock_.now();
     const bool is_full = news.after_revision == 0;
-    if (!is_full && (!is_complete_ || news.after_revision > revision_)) {
+    if (!is_full &&
+        (!copy_.is_complete() || news.after_revision > copy_.revision())) {
         // Changes were missed: pull all items.
         if (now - last_pull_at_ >= pull_interval) {
             last_pull_at_ = now;
@@ -314,16 +287,16 @@
     }
     if (news.grace > duration::zero()) {
         hooks_.extend_grace(news.grace);
-    } else if (is_complete_ && confirmation_age() > min_lapse_gap) {
+    } else if (copy_.is_complete() && confirmation_age() > min_lapse_gap) {
         hooks_.extend_grace(
             policy::upstream_directory::lapsed_registration_grace);
     }
-    if (is_full && news.revision >= revision_) {
+    if (is_full && news.revision >= copy_.revision()) {
         replace_items(news.items, news.revision);
     } else {
         merge_items(news.items, news.revision);
     }
-    follower_->skip_to(revision_);
+    follower_->skip_to(copy_.revision());
     if (news.age > limits_.max_age) {
         return;
     }
