policy: Share extra attempts with nodes that may only be cut off

Each node's share of the extra attempts followed from the nodes that it saw alive.

Nodes that have just started are bounded as before, as their allowance grows over the first window.

Before and after: forwarding_state_test partitioned_fleet shows that shares by live nodes exceed the allowance and shares by remaining nodes do not; it tests the share, not the gateway that passes the count.

--- a/packages/node/include/tamarackhoist/node/peer_group.hpp
+++ b/packages/node/include/tamarackhoist/node/peer_group.hpp
@@ -63,6 +63,9 @@
 
     /// Returns the members that are alive or suspect, except this node.
     [[nodiscard]] std::vector<peers::member> live_peers() const;
+    /// Returns the number of peers that have not left. Those that seem dead may
+    /// only be cut off.
+    [[nodiscard]] std::size_t remaining_peer_count() const;
 
     [[nodiscard]] const peers::member& self() const
     {
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -395,14 +395,12 @@
     }
     std::map<std::string, std::size_t, std::less<>> nodes;
     nodes[settings_.failure_domain] = 1;
-    std::size_t count = 1;
     for (const auto& each : peers_->live_peers()) {
         ++nodes[each.failure_domain];
-        ++count;
     }
-    context_.set_allowance(
-        static_cast<double>(settings_.extra_attempt_allowance) /
-        static_cast<double>(count + settings_.spare_nodes));
+    context_.set_allowance(policy::allowance_share(
+        settings_.extra_attempt_allowance, peers_->remaining_peer_count() + 1,
+        settings_.spare_nodes));
     health_.reach().set_own_domain_nodes(nodes[settings_.failure_domain]);
     relay_client_.update_members();
     pools_.set_live_nodes(
--- a/packages/node/src/peer_group.cpp
+++ b/packages/node/src/peer_group.cpp
@@ -1,5 +1,6 @@
 #include <tamarackhoist/node/peer_group.hpp>
 
+#include <algorithm>
 #include <tamarackhoist/node/cluster.hpp>
 #include <tamarackhoist/runtime/log_line.hpp>
 
@@ -148,6 +149,16 @@
     return live;
 }
 
+std::size_t peer_group::remaining_peer_count() const
+{
+    const auto members = membership_.members();
+    return static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [this](const member& each) {
+            return each.state != member_state::leaving &&
+                   each.name != self().name;
+        }));
+}
+
 void peer_group::request_members(const member& peer)
 {
     peer_directory_.get_or_open_link(peer)->call(
--- a/packages/policy/include/tamarackhoist/policy/extra_attempt_window.hpp
+++ b/packages/policy/include/tamarackhoist/policy/extra_attempt_window.hpp
@@ -19,6 +19,14 @@
     runtime::duration window = std::chrono::seconds(10);
 };
 
+/// Returns one node's share of the extra attempts that the fleet may make in a
+/// window regardless of its requests. `known_nodes` counts this node and all
+/// that may be running: a node that seems dead may only be cut off, and spend
+/// its own share. `spare_nodes` may join at any time.
+[[nodiscard]] double allowance_share(double fleet_allowance,
+                                     std::size_t known_nodes,
+                                     std::size_t spare_nodes);
+
 /// Counts the requests and extra attempts of one service in a sliding window.
 /// Each node applies the limits to its own requests, so the fleet stays within
 /// them without exchanging counts. The allowance grows linearly over the first
--- a/packages/policy/src/extra_attempt_window.cpp
+++ b/packages/policy/src/extra_attempt_window.cpp
@@ -7,6 +7,12 @@
 
 using runtime::time_point;
 
+double allowance_share(double fleet_allowance, std::size_t known_nodes,
+                       std::size_t spare_nodes)
+{
+    return fleet_allowance / static_cast<double>(known_nodes + spare_nodes);
+}
+
 extra_attempt_window::extra_attempt_window(extra_attempt_limits limits,
                                            time_point started_at)
     : limits_(limits), started_at_(started_at),
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -23,6 +23,26 @@
 
 /// In any window, the extra attempts never exceed the allowance plus the ratio
 /// times the requests of that window and the one before.
+/// The nodes of a fleet are cut off from each other, but not from the
+/// upstreams. Together they may make no more extra attempts than the fleet may.
+void the_shares_of_a_partitioned_fleet_stay_within_the_allowance()
+{
+    constexpr double fleet_allowance = 52.0;
+    constexpr std::size_t spare_nodes = 4;
+    constexpr std::size_t nodes = 6;
+    double by_remaining_nodes = 0.0;
+    double by_live_nodes = 0.0;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        by_remaining_nodes +=
+            policy::allowance_share(fleet_allowance, nodes, spare_nodes);
+        by_live_nodes +=
+            policy::allowance_share(fleet_allowance, 1, spare_nodes);
+    }
+    cr_assert(by_remaining_nodes <= fleet_allowance);
+    cr_assert(by_live_nodes > fleet_allowance,
+              "counting only live nodes is not enough");
+}
+
 void extra_attempts_stay_within_the_limits()
 {
     const bool holds = rc::check([] {
@@ -385,6 +405,10 @@
 
 } // namespace
 
+Test(extra_attempts, partitioned_fleet)
+{
+    the_shares_of_a_partitioned_fleet_stay_within_the_allowance();
+}
 Test(extra_attempts, limits)
 {
     extra_attempts_stay_within_the_limits();
