peers: Destroy the link of a test before its event loop

With sanitizers, peer_link_test read freed memory at its end: the fixture declared the link before the io_context, whose strand the link releases. Only the fixture was wrong; a gateway destroys its links before its loop.

Before: both tests fail with AddressSanitizer. After: both pass, with and without it.

--- a/packages/peers/tests/peer_link_test.cpp
+++ b/packages/peers/tests/peer_link_test.cpp
@@ -59,13 +59,14 @@
         return size;
     }
 
-    std::shared_ptr<peers::peer_link> link;
-    std::optional<call_end> end;
-
 private:
     asio::io_context context_;
     tcp::acceptor acceptor_;
     tcp::socket peer_;
+
+public:
+    std::shared_ptr<peers::peer_link> link;
+    std::optional<call_end> end;
 };
 
 /// A link is closed because its peer was declared dead, in a partition. When
