--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -40,7 +40,7 @@
 
     /// Returns whether this node may send requests to the upstream.
     [[nodiscard]] send_permission permission(runtime::time_point now) const;
-    /// Returns whether the upstream takes no more requests, ever.
+    /// Whether the upstream is not offered: it drains, leaves or is gone.
     [[nodiscard]] bool is_withdrawn() const;
 };
 
