transport: Reject responses whose status code is not valid

What callers saw: an upstream in trouble sent an answer whose status was 000, and the gateway passed it on as "HTTP/1.1 0 OK", with the upstream's digest.

Cause: Beast's response parser takes any three digits as a status code, and nothing after it looked at the range: a code that is neither a success nor a server error counts as the upstream's own answer (classify_response).

Ruled out: codes without exactly three digits, and fan-outs, where only a success is a part; both were handled before.

Change: response_parser, which every HTTP/1.1 response is now read with: those of upstreams, direct or for another node (response_reader), and those of the store, the platform, health checks and other nodes' operator pages (http_connection). A code outside 100 to 599, the classes that HTTP defines, is malformed. So the attempt is broken: it is sent to another upstream if it may be repeated, and answered 502 otherwise; the connection is closed.

Evidence: stand-ins send the answers as raw bytes.

--- /dev/null
+++ b/packages/node/tests/broken_answer_test.cpp
@@ -0,0 +1,144 @@
+#include "../../transport/tests/broken_responses.hpp"
+#include "gateway_fixture.hpp"
+#include <atomic>
+
+#include <criterion/criterion.h>
+
+/// Upstreams whose answers are not valid HTTP: callers must not get them.
+
+using namespace tamarackhoist;
+using namespace std::chrono_literals;
+using node::gateway_fixture;
+using upstreams::scripted_upstream;
+
+namespace
+{
+
+/// Answers each request with a response that `make` builds from the fields
+/// that every answer of an upstream holds.
+scripted_upstream::script
+make_script(std::function<std::string(const std::string& fields)> make)
+{
+    return [make = std::move(make)](const std::string& header, int) {
+        return scripted_upstream::reply{
+            make("X-Id: " + upstreams::parse_request_id(header) +
+                 "\r\nX-Digest: d\r\n"),
+            true};
+    };
+}
+
+std::string make_valid_response(const std::string& fields)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nvalid";
+}
+
+policy::route make_route(const std::string& service,
+                         policy::repeatability repeat)
+{
+    policy::route route;
+    route.name = service;
+    route.host = "h";
+    route.prefix = "/" + service + "/";
+    route.repeat = repeat;
+    route.timeout = 1000ms;
+    route.latency_target = 400ms;
+    route.max_attempts = 2;
+    route.services = {{service, 1.0}};
+    return route;
+}
+
+using response_list = std::vector<std::string> (*)(const std::string& fields);
+
+/// The answer of the gateway itself when it has no other upstream to ask.
+bool is_own_answer(const std::string& answer)
+{
+    return answer.starts_with("HTTP/1.1 502 Bad Gateway\r\n") &&
+           answer.ends_with("\r\n\r\n");
+}
+
+/// Each response comes from an upstream of its own, once for a request that
+/// may be repeated and once for one that may not. Expects that the caller gets
+/// an answer of the gateway's own.
+void expect_not_passed_on(response_list make_responses)
+{
+    gateway_fixture fixture;
+    std::vector<policy::route> routes;
+    const auto count = make_responses("").size();
+    for (std::size_t index = 0; index < count; ++index) {
+        for (const auto repeat : {policy::repeatability::idempotent,
+                                  policy::repeatability::at_most_once}) {
+            const auto service = "s" + std::to_string(routes.size());
+            fixture.add_scripted_upstream(
+                service, service, "a",
+                make_script([make_responses, index](const std::string& fields) {
+                    return make_responses(fields)[index];
+                }));
+            routes.push_back(make_route(service, repeat));
+        }
+    }
+    fixture.set_routes(1, routes);
+    const auto gateway = fixture.start_gateway("n", "a");
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    for (const auto& route : routes) {
+        const auto answer =
+            fixture.send_raw_request(gateway, route.prefix, route.name);
+        cr_expect(is_own_answer(answer), "%s", answer.c_str());
+    }
+}
+
+/// The upstream that is tried first sends broken responses. Expects that
+/// callers get the answer of the other one. A node that has just started may
+/// not send extra attempts yet, so a few get an answer of the gateway's own.
+void expect_answer_of_other_upstream(response_list make_responses)
+{
+    constexpr int requests = 30;
+    constexpr int min_valid_answers = 25;
+    gateway_fixture fixture;
+    std::atomic<int> broken_responses = 0;
+    fixture.add_scripted_upstream(
+        "broken", "s", "a",
+        make_script([&, make_responses](const std::string& fields) {
+            ++broken_responses;
+            return make_responses(fields).front();
+        }));
+    // An upstream in the domain of the gateway is tried first.
+    fixture.add_scripted_upstream("sound", "s", "b",
+                                  make_script(make_valid_response));
+    fixture.set_routes(1, {make_route("s", policy::repeatability::idempotent)});
+    const auto gateway = fixture.start_gateway("n", "a");
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    int valid_answers = 0;
+    for (int number = 0; number < requests; ++number) {
+        const auto answer = fixture.send_raw_request(
+            gateway, "/s/", "r" + std::to_string(number));
+        const bool is_valid = answer.starts_with("HTTP/1.1 200 OK\r\n") &&
+                              answer.ends_with("\r\n\r\nvalid");
+        valid_answers += is_valid ? 1 : 0;
+        cr_expect(is_valid || is_own_answer(answer), "%s", answer.c_str());
+    }
+    cr_expect_geq(valid_answers, min_valid_answers);
+    cr_expect_gt(broken_responses.load(), 0);
+}
+
+void invalid_statuses_are_not_passed_on()
+{
+    expect_not_passed_on(transport::make_invalid_statuses);
+    expect_answer_of_other_upstream(transport::make_invalid_statuses);
+}
+
+void invalid_field_names_are_not_passed_on()
+{
+    expect_not_passed_on(transport::make_invalid_field_names);
+    expect_answer_of_other_upstream(transport::make_invalid_field_names);
+}
+
+} // namespace
+
+Test(broken_answer, status)
+{
+    invalid_statuses_are_not_passed_on();
+}
+Test(broken_answer, field_names)
+{
+    invalid_field_names_are_not_passed_on();
+}
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -1,10 +1,12 @@
 #ifndef TAMARACKHOIST_NODE_GATEWAY_FIXTURE_HPP
 #define TAMARACKHOIST_NODE_GATEWAY_FIXTURE_HPP
 
+#include "../../upstreams/tests/scripted_upstream.hpp"
 #include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -197,19 +199,22 @@
                 })
                 .value();
         server->start();
-        policy::registered_upstream entry;
-        entry.id = id;
-        entry.service = service;
-        entry.address = "127.0.0.1";
-        entry.port = server->port();
-        entry.failure_domain = domain;
-        entry.slots = 2;
-        {
-            const std::lock_guard guard(mutex_);
-            registrations_["servers/" + id] = entry;
-        }
+        register_upstream(id, service, domain, server->port());
         servers_.push_back(std::move(server));
-        store.put({"servers/" + id, "x", 0, false});
+    }
+
+    /// Starts an upstream that answers with bytes from a script, which runs on
+    /// another thread, and puts its registration into the store.
+    void add_scripted_upstream(const std::string& id,
+                               const std::string& service,
+                               const std::string& domain,
+                               upstreams::scripted_upstream::script answer)
+    {
+        auto upstream = std::make_unique<upstreams::scripted_upstream>(
+            upstream_context_, std::move(answer));
+        register_upstream(id, service, domain,
+                          upstream->listen_endpoint().port);
+        scripted_upstreams_.push_back(std::move(upstream));
     }
 
     /// Updates the registration of an upstream to draining.
@@ -330,6 +335,30 @@
         return exchange(callers_[index], target, id, body);
     }
 
+    /// Sends a caller's request to a gateway and returns all bytes that it
+    /// sends until it closes the connection.
+    [[nodiscard]] std::string send_raw_request(std::size_t index,
+                                               const std::string& target,
+                                               const std::string& id = "id")
+    {
+        using boost::asio::ip::tcp;
+        boost::asio::io_context context;
+        tcp::socket socket(context);
+        const auto& gateway = callers_[index];
+        socket.connect(
+            {boost::asio::ip::make_address(gateway.address), gateway.port});
+        boost::asio::write(
+            socket, boost::asio::buffer("GET " + target +
+                                        " HTTP/1.1\r\nHost: h\r\nX-Id: " + id +
+                                        "\r\nX-Left: 2000\r\n"
+                                        "Connection: close\r\n\r\n"));
+        std::string received;
+        boost::system::error_code ignored;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received),
+                          ignored);
+        return received;
+    }
+
     [[nodiscard]] std::vector<received_request> received_requests()
     {
         const std::lock_guard guard(mutex_);
@@ -397,6 +426,23 @@
         return response;
     }
 
+    void register_upstream(const std::string& id, const std::string& service,
+                           const std::string& domain, std::uint16_t port)
+    {
+        policy::registered_upstream entry;
+        entry.id = id;
+        entry.service = service;
+        entry.address = "127.0.0.1";
+        entry.port = port;
+        entry.failure_domain = domain;
+        entry.slots = 2;
+        {
+            const std::lock_guard guard(mutex_);
+            registrations_["servers/" + id] = entry;
+        }
+        store.put({"servers/" + id, "x", 0, false});
+    }
+
     std::optional<platform::news_item> decode(const policy::store_item& item)
     {
         const std::lock_guard guard(mutex_);
@@ -422,6 +468,8 @@
     std::vector<received_request> received_;
     boost::asio::io_context upstream_context_;
     std::vector<std::shared_ptr<transport::http_server>> servers_;
+    std::vector<std::unique_ptr<upstreams::scripted_upstream>>
+        scripted_upstreams_;
     std::vector<transport::endpoint> callers_;
     std::vector<transport::endpoint> readiness_;
     std::vector<transport::endpoint> peer_addresses_;
--- a/packages/transport/src/http_connection.cpp
+++ b/packages/transport/src/http_connection.cpp
@@ -7,9 +7,9 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <tamarackhoist/transport/response_parser.hpp>
 #include <utility>
 
 namespace tamarackhoist::transport
@@ -115,7 +115,7 @@
         co_return;
     }
     beast::flat_buffer buffer(max_unparsed_bytes);
-    http::response_parser<http::string_body> parser;
+    response_parser parser;
     parser.body_limit(max_response_bytes);
     auto [read_error, size] =
         co_await http::async_read(stream_, buffer, parser, use_tuple);
--- /dev/null
+++ b/packages/transport/tests/broken_responses.hpp
@@ -0,0 +1,51 @@
+#ifndef TAMARACKHOIST_TRANSPORT_BROKEN_RESPONSES_HPP
+#define TAMARACKHOIST_TRANSPORT_BROKEN_RESPONSES_HPP
+
+#include <string>
+#include <vector>
+
+/// Responses that are not valid HTTP/1.1, for stand-ins of servers. Each head
+/// holds `fields`, which are complete lines. Up to its fault, each response is
+/// one that a client could accept.
+namespace tamarackhoist::transport
+{
+
+/// A short body and the field that states its length.
+inline const std::string sized_body = "Content-Length: 4\r\n\r\nbody";
+
+/// Status codes outside 100 to 599, and codes that have not three digits.
+[[nodiscard]] inline std::vector<std::string>
+make_invalid_statuses(const std::string& fields)
+{
+    std::vector<std::string> responses;
+    for (const std::string status :
+         {"000", "001", "099", "600", "999", "20", "2000", "2x0", "-20"}) {
+        responses.push_back("HTTP/1.1 " + status + " OK\r\n" + fields +
+                            sized_body);
+    }
+    return responses;
+}
+
+/// Field names that hold a blank or a control byte.
+[[nodiscard]] inline std::vector<std::string>
+make_invalid_field_names(const std::string& fields)
+{
+    const std::string status_line = "HTTP/1.1 200 OK\r\n";
+    std::vector<std::string> responses;
+    for (const std::string name :
+         {"X Name", "X-Name ", "X-Name\t", "X-\x01Name", "X-\x7fName",
+          "X-\rName", "X-\nName", "\x01X-Name", ""}) {
+        const auto line = name + ": value\r\n";
+        responses.push_back(status_line + fields + line + sized_body);
+        responses.push_back(status_line + line + fields + sized_body);
+    }
+    const std::string nul_name("X-\0Name: value\r\n", 16);
+    responses.push_back(status_line + fields + nul_name + sized_body);
+    responses.push_back(status_line + fields +
+                        "Content-Length : 4\r\n\r\nbody");
+    return responses;
+}
+
+} // namespace tamarackhoist::transport
+
+#endif
--- a/packages/transport/tests/http_connection_test.cpp
+++ b/packages/transport/tests/http_connection_test.cpp
@@ -1,3 +1,4 @@
+#include "broken_responses.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -61,6 +62,14 @@
         process_events();
     }
 
+    /// Ends the server's side of the connection and processes events.
+    void end_responses()
+    {
+        boost::system::error_code ignored;
+        server_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        process_events();
+    }
+
     /// Sends `bytes` again and again until the exchange ends, for 5 seconds at
     /// most.
     void respond_endlessly(const std::string& bytes)
@@ -178,8 +187,41 @@
     }
 }
 
+/// Answers of the store, of the platform and to health checks are read here.
+void expect_rejected(const std::vector<std::string>& responses)
+{
+    for (const auto& bytes : responses) {
+        connection_fixture fixture;
+        fixture.send_request();
+        fixture.respond(bytes);
+        fixture.end_responses();
+        cr_expect(fixture.result.has_value() &&
+                      fixture.result->status == exchange_status::broken,
+                  "%s", bytes.c_str());
+        cr_expect(!fixture.connection->is_open());
+    }
+}
+
+void invalid_statuses_are_rejected()
+{
+    expect_rejected(transport::make_invalid_statuses(""));
+}
+
+void invalid_field_names_are_rejected()
+{
+    expect_rejected(transport::make_invalid_field_names("X-Field: value\r\n"));
+}
+
 } // namespace
 
+Test(http_connection, status)
+{
+    invalid_statuses_are_rejected();
+}
+Test(http_connection, field_names)
+{
+    invalid_field_names_are_rejected();
+}
 Test(http_connection, several_exchanges)
 {
     a_connection_carries_several_exchanges();
--- a/packages/upstreams/include/tamarackhoist/upstreams/response_reader.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/response_reader.hpp
@@ -1,8 +1,6 @@
 #ifndef TAMARACKHOIST_UPSTREAMS_RESPONSE_READER_HPP
 #define TAMARACKHOIST_UPSTREAMS_RESPONSE_READER_HPP
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -10,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <tamarackhoist/transport/http_message.hpp>
+#include <tamarackhoist/transport/response_parser.hpp>
 #include <tamarackhoist/upstreams/response_budget.hpp>
 #include <tamarackhoist/upstreams/response_fault.hpp>
 
@@ -71,9 +70,6 @@
     [[nodiscard]] response_fault fault() const { return fault_; }
 
 private:
-    using parser_type =
-        boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     void reset_parser();
     /// Parses as much of `bytes` as possible and returns its size.
     std::size_t parse(std::string_view bytes);
@@ -86,7 +82,7 @@
     std::string request_id_;
     bool is_head_ = false;
     bool is_head_reported_ = false;
-    std::optional<parser_type> parser_;
+    std::optional<transport::response_parser> parser_;
     std::string unparsed_;
     response_reservation reservation_;
     std::size_t skipped_responses_ = 0;
--- /dev/null
+++ b/packages/upstreams/tests/broken_response_test.cpp
@@ -0,0 +1,56 @@
+#include "../../transport/tests/broken_responses.hpp"
+#include "pool_fixture.hpp"
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+/// Upstreams whose answers are not valid HTTP.
+
+using namespace tamarackhoist;
+using upstreams::forward_status;
+using upstreams::pool_fixture;
+using upstreams::scripted_upstream;
+
+namespace
+{
+
+const std::string request_id_line = "X-Id: r\r\n";
+
+/// Expects that each response ends its request as broken, whether or not the
+/// connection ends with it, and that the connection is not used again.
+void expect_rejected(const std::vector<std::string>& responses)
+{
+    for (const auto& bytes : responses) {
+        pool_fixture fixture([&](const std::string&, int) {
+            return scripted_upstream::reply{bytes, true};
+        });
+        fixture.send("r");
+        fixture.run_until(1);
+        cr_expect(fixture.results[0].status == forward_status::broken, "%s",
+                  bytes.c_str());
+        fixture.process_events();
+        cr_expect_eq(fixture.pool->connection_count(), 0U);
+    }
+}
+
+void invalid_statuses_are_rejected()
+{
+    expect_rejected(transport::make_invalid_statuses(request_id_line));
+}
+
+void invalid_field_names_are_rejected()
+{
+    expect_rejected(transport::make_invalid_field_names(request_id_line));
+}
+
+} // namespace
+
+Test(broken_response, status)
+{
+    invalid_statuses_are_rejected();
+}
+Test(broken_response, field_names)
+{
+    invalid_field_names_are_rejected();
+}
