transport: Reject responses with a folded head

What callers saw: an upstream in trouble sent a head with a line that begins with a blank, which is a field name that holds a blank. The caller got the line as part of the field before it. Where the line was Transfer-Encoding, the caller got the framing of the chunks as the body; where it was Content-Length, a body that ends with the connection.

Cause: Beast's parser takes such a line for the continuation of the value before it, an obsolete form, and joins the two. The line may decide where the body ends, so readers that see a field there read another body.

Ruled out: blanks and control bytes elsewhere in a name, and a line with a blank right after the status line; these were rejected before.

Change: response_parser rejects a field whose value was continued. HTTP allows a gateway to do so, and no other form tells which body was meant. Lines of a trailer are read by the same code.

Evidence, on: broken_answer_test folded_heads: 14 of 16 requests with one upstream, and 30 of 30 with a second, sound one, got such an answer; broken_response_test and http_connection_test folded_heads: 7 of 8 answers taken as valid in each. Now none. response_reader_test unusual_heads shows that blanks around a value and empty values are still read, however they are cut; it passed before, too.

--- a/packages/node/tests/broken_answer_test.cpp
+++ b/packages/node/tests/broken_answer_test.cpp
@@ -132,6 +132,12 @@
     expect_answer_of_other_upstream(transport::make_invalid_field_names);
 }
 
+void folded_heads_are_not_passed_on()
+{
+    expect_not_passed_on(transport::make_folded_heads);
+    expect_answer_of_other_upstream(transport::make_folded_heads);
+}
+
 } // namespace
 
 Test(broken_answer, status)
@@ -142,3 +148,7 @@
 {
     invalid_field_names_are_not_passed_on();
 }
+Test(broken_answer, folded_heads)
+{
+    folded_heads_are_not_passed_on();
+}
--- a/packages/transport/include/tamarackhoist/transport/response_parser.hpp
+++ b/packages/transport/include/tamarackhoist/transport/response_parser.hpp
@@ -16,6 +16,10 @@
     void on_response_impl(int status, boost::beast::string_view reason,
                           int version,
                           boost::system::error_code& error) override;
+    void on_field_impl(boost::beast::http::field field,
+                       boost::beast::string_view name,
+                       boost::beast::string_view value,
+                       boost::system::error_code& error) override;
 };
 
 } // namespace tamarackhoist::transport
--- a/packages/transport/src/response_parser.cpp
+++ b/packages/transport/src/response_parser.cpp
@@ -20,6 +20,18 @@
     return status >= min_status && status <= max_status;
 }
 
+/// Returns whether the value was continued on further lines, each of which
+/// begins with a blank. Beast joins them in memory of its own; any other value
+/// lies in the received bytes, behind the name, the colon and blanks.
+bool is_folded(string_view name, string_view value)
+{
+    const char* begin = name.data() + name.size() + 1;
+    while (*begin == ' ' || *begin == '\t') {
+        ++begin;
+    }
+    return value.data() != begin;
+}
+
 } // namespace
 
 void response_parser::on_response_impl(int status, string_view reason,
@@ -35,4 +47,16 @@
     response.reason(reason);
 }
 
+void response_parser::on_field_impl(http::field field, string_view name,
+                                    string_view value, error_code& error)
+{
+    // What one reader takes for a continued value is a field to another, which
+    // may state where the body ends.
+    if (is_folded(name, value)) {
+        error = http::error::bad_field;
+        return;
+    }
+    get().insert(field, name, value);
+}
+
 } // namespace tamarackhoist::transport
--- a/packages/transport/tests/broken_responses.hpp
+++ b/packages/transport/tests/broken_responses.hpp
@@ -46,6 +46,27 @@
     return responses;
 }
 
+/// Lines that begin with a blank. They have a field name that holds a blank, or
+/// continue the line before them: one reader sees a field, or the end of the
+/// head, where another sees part of a value.
+[[nodiscard]] inline std::vector<std::string>
+make_folded_heads(const std::string& fields)
+{
+    const auto beginning =
+        "HTTP/1.1 200 OK\r\n" + fields + "X-First: value\r\n";
+    return {
+        beginning + " X-Second: value\r\n" + sized_body,
+        beginning + "\tX-Second: value\r\n" + sized_body,
+        beginning + " \r\n" + sized_body,
+        beginning + "X-Empty:\r\n X-Second: value\r\n" + sized_body,
+        beginning + "X-Empty: \r\n\t\r\n" + sized_body,
+        beginning + " Content-Length: 4\r\n\r\nbody",
+        beginning + " Transfer-Encoding: chunked\r\n\r\n"
+                    "4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n X-First: value\r\n" + fields + sized_body,
+    };
+}
+
 } // namespace tamarackhoist::transport
 
 #endif
--- a/packages/transport/tests/http_connection_test.cpp
+++ b/packages/transport/tests/http_connection_test.cpp
@@ -212,6 +212,11 @@
     expect_rejected(transport::make_invalid_field_names("X-Field: value\r\n"));
 }
 
+void folded_heads_are_rejected()
+{
+    expect_rejected(transport::make_folded_heads(""));
+}
+
 } // namespace
 
 Test(http_connection, status)
@@ -222,6 +227,10 @@
 {
     invalid_field_names_are_rejected();
 }
+Test(http_connection, folded_heads)
+{
+    folded_heads_are_rejected();
+}
 Test(http_connection, several_exchanges)
 {
     a_connection_carries_several_exchanges();
--- a/packages/upstreams/tests/broken_response_test.cpp
+++ b/packages/upstreams/tests/broken_response_test.cpp
@@ -44,6 +44,11 @@
     expect_rejected(transport::make_invalid_field_names(request_id_line));
 }
 
+void folded_heads_are_rejected()
+{
+    expect_rejected(transport::make_folded_heads(request_id_line));
+}
+
 } // namespace
 
 Test(broken_response, status)
@@ -54,3 +59,7 @@
 {
     invalid_field_names_are_rejected();
 }
+Test(broken_response, folded_heads)
+{
+    folded_heads_are_rejected();
+}
--- a/packages/upstreams/tests/response_reader_test.cpp
+++ b/packages/upstreams/tests/response_reader_test.cpp
@@ -169,8 +169,37 @@
     cr_assert_eq(heads.size(), 3U);
 }
 
+/// Blanks around a value and empty values are valid, and a reason may be empty,
+/// however the bytes are cut.
+void unusual_heads_are_read()
+{
+    const std::string bytes = "HTTP/1.1 599 \r\nX-Id:r\r\nX-Empty:\r\n"
+                              "X-Blanks: \t \r\nX-Inner:\t a \t b \r\n"
+                              "X-Bytes: \xff\x80\r\n"
+                              "Content-Length: 1\r\n\r\nb";
+    for (std::size_t size = 1; size <= bytes.size(); ++size) {
+        response_reader reader({.request_id_field = "X-Id"});
+        reader.start("r", false);
+        auto progress = response_reader::progress::incomplete;
+        for (std::size_t at = 0; at < bytes.size(); at += size) {
+            progress = reader.read(std::string_view(bytes).substr(at, size));
+        }
+        cr_assert(progress == response_reader::progress::complete, "%zu", size);
+        const auto response = reader.take_response();
+        cr_assert_eq(response.result_int(), 599U);
+        cr_assert_eq(std::string(response["X-Empty"]), "");
+        cr_assert_eq(std::string(response["X-Blanks"]), "");
+        cr_assert_eq(std::string(response["X-Inner"]), "a \t b");
+        cr_assert_eq(std::string(response["X-Bytes"]), "\xff\x80");
+    }
+}
+
 } // namespace
 
+Test(response_reader, unusual_heads)
+{
+    unusual_heads_are_read();
+}
 Test(response_reader, heads)
 {
     every_head_is_reported_once_and_at_once();
