transport: Reject responses with transfer codings other than chunked

What callers could see: an answer whose Transfer-Encoding is not just "chunked" reached the caller with a body that is not the upstream's: encoded, with the framing of its chunks, or up to the end of the connection. The gateway removes the field, so the caller can't tell.

Found by the search for places that read answers, not reported.

Cause: Beast looks only whether the last coding is "chunked". Other codings it leaves in the body, and without "chunked" it reads to the end of the connection, also beside a Content-Length in a later line. HTTP/1.0 has no transfer codings.

Ruled out: "chunked" together with a Content-Length, in either order; rejected before and still tested.

Change: response_parser accepts the one value "chunked", in HTTP/1.1. No request of a node asks for another coding (make_request_head removes TE).

--- a/packages/node/tests/broken_answer_test.cpp
+++ b/packages/node/tests/broken_answer_test.cpp
@@ -138,6 +138,12 @@
     expect_answer_of_other_upstream(transport::make_folded_heads);
 }
 
+void unsupported_codings_are_not_passed_on()
+{
+    expect_not_passed_on(transport::make_unsupported_codings);
+    expect_answer_of_other_upstream(transport::make_unsupported_codings);
+}
+
 } // namespace
 
 Test(broken_answer, status)
@@ -152,3 +158,7 @@
 {
     folded_heads_are_not_passed_on();
 }
+Test(broken_answer, transfer_codings)
+{
+    unsupported_codings_are_not_passed_on();
+}
--- a/packages/transport/src/response_parser.cpp
+++ b/packages/transport/src/response_parser.cpp
@@ -1,5 +1,6 @@
 #include <tamarackhoist/transport/response_parser.hpp>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace tamarackhoist::transport
@@ -32,6 +33,14 @@
     return value.data() != begin;
 }
 
+/// Returns whether the body can be read. Beast decodes no other coding, and
+/// looks for chunks only if the last one is "chunked".
+bool is_supported_coding(unsigned version, string_view coding)
+{
+    constexpr unsigned http_1_1 = 11;
+    return version >= http_1_1 && boost::beast::iequals(coding, "chunked");
+}
+
 } // namespace
 
 void response_parser::on_response_impl(int status, string_view reason,
@@ -56,6 +65,11 @@
         error = http::error::bad_field;
         return;
     }
+    if (field == http::field::transfer_encoding &&
+        !is_supported_coding(get().version(), value)) {
+        error = http::error::bad_transfer_encoding;
+        return;
+    }
     get().insert(field, name, value);
 }
 
--- a/packages/transport/tests/broken_responses.hpp
+++ b/packages/transport/tests/broken_responses.hpp
@@ -67,6 +67,33 @@
     };
 }
 
+/// Transfer codings other than "chunked", which no request has asked for. The
+/// body that they state cannot be told, or is encoded.
+[[nodiscard]] inline std::vector<std::string>
+make_unsupported_codings(const std::string& fields)
+{
+    const std::string chunked_body = "\r\n4\r\nbody\r\n0\r\n\r\n";
+    std::vector<std::string> responses;
+    for (const std::string coding :
+         {"gzip", "gzip, chunked", "chunked, identity", "chunked, chunked",
+          "xchunked", "chunked;a=b", ""}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + fields +
+                            "Transfer-Encoding: " + coding + "\r\n" +
+                            chunked_body);
+    }
+    responses.push_back("HTTP/1.1 200 OK\r\n" + fields +
+                        "Transfer-Encoding: gzip\r\n"
+                        "Transfer-Encoding: chunked\r\n" +
+                        chunked_body);
+    responses.push_back("HTTP/1.1 200 OK\r\n" + fields +
+                        "Transfer-Encoding: identity\r\n" + sized_body);
+    responses.push_back("HTTP/1.1 200 OK\r\n" + fields +
+                        "Transfer-Encoding: chunked\r\n" + sized_body);
+    responses.push_back("HTTP/1.0 200 OK\r\n" + fields +
+                        "Transfer-Encoding: chunked\r\n" + chunked_body);
+    return responses;
+}
+
 } // namespace tamarackhoist::transport
 
 #endif
--- a/packages/transport/tests/http_connection_test.cpp
+++ b/packages/transport/tests/http_connection_test.cpp
@@ -217,6 +217,11 @@
     expect_rejected(transport::make_folded_heads(""));
 }
 
+void unsupported_codings_are_rejected()
+{
+    expect_rejected(transport::make_unsupported_codings(""));
+}
+
 } // namespace
 
 Test(http_connection, status)
@@ -231,6 +236,10 @@
 {
     folded_heads_are_rejected();
 }
+Test(http_connection, transfer_codings)
+{
+    unsupported_codings_are_rejected();
+}
 Test(http_connection, several_exchanges)
 {
     a_connection_carries_several_exchanges();
--- a/packages/upstreams/tests/broken_response_test.cpp
+++ b/packages/upstreams/tests/broken_response_test.cpp
@@ -49,6 +49,11 @@
     expect_rejected(transport::make_folded_heads(request_id_line));
 }
 
+void unsupported_codings_are_rejected()
+{
+    expect_rejected(transport::make_unsupported_codings(request_id_line));
+}
+
 } // namespace
 
 Test(broken_response, status)
@@ -63,3 +68,7 @@
 {
     folded_heads_are_rejected();
 }
+Test(broken_response, transfer_codings)
+{
+    unsupported_codings_are_rejected();
+}
