transport: Keep fields of a trailer out of the head of a response

What callers could see: an answer whose digest stood in the trailer was passed on as the upstream's; an order that had run was answered 503 with Retry-After, "not executed", because the trailer held the refusal field. A trailer with one field of 64 KiB or more ended the gateway.

Found by the search for places that read answers, not reported.

Cause: Beast inserts the fields of a trailer into the head. So they also say whose response it is, how long an upstream wants a pause, and so on. Its container throws for a value of 65,534 bytes or more, which a head can't reach but a trailer can (limit 64 KiB, plus one read); nothing above catches it.

Change: response_parser checks the lines of a trailer and discards them, as HTTP allows a gateway to do.

Evidence, on: broken_answer_test digest_in_trailer: 2 of 2 requests got 200 with the digest; refusal_in_trailer: 503 for a request that one upstream had run; broken_response_test large_trailer: "field value too large" out of the event loop. Now 502, 200 without the field, and an answer.

Handled before, tests added that passed on: trailers with lines that are not fields, or that state a length or a coding; 17 forms of broken chunks (chunks, trailers of the three programs).

--- a/packages/node/tests/broken_answer_test.cpp
+++ b/packages/node/tests/broken_answer_test.cpp
@@ -144,6 +144,57 @@
     expect_answer_of_other_upstream(transport::make_unsupported_codings);
 }
 
+void invalid_chunks_are_not_passed_on()
+{
+    expect_not_passed_on(transport::make_invalid_chunks);
+}
+
+void invalid_trailers_are_not_passed_on()
+{
+    expect_not_passed_on(transport::make_invalid_trailers);
+}
+
+std::string make_response_with_trailer(const std::string& fields,
+                                       const std::string& trailer)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields +
+           "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer +
+           "\r\n";
+}
+
+/// The digest covers the response only if its head holds it.
+void a_digest_in_a_trailer_does_not_count()
+{
+    expect_not_passed_on([](const std::string& fields) {
+        const auto id_line = fields.substr(0, fields.find("X-Digest"));
+        return std::vector<std::string>{
+            make_response_with_trailer(id_line, "X-Digest: d\r\n")};
+    });
+}
+
+/// A trailer arrives after the body, so the request has run: a refusal in it
+/// must not make the gateway send an order again.
+void a_refusal_in_a_trailer_does_not_count()
+{
+    gateway_fixture fixture;
+    std::atomic<int> orders = 0;
+    for (const std::string id : {"u0", "u1"}) {
+        fixture.add_scripted_upstream(
+            id, "s", "a", make_script([&](const std::string& fields) {
+                ++orders;
+                return make_response_with_trailer(fields, "X-Not-Run: 1\r\n");
+            }));
+    }
+    fixture.set_routes(1,
+                       {make_route("s", policy::repeatability::at_most_once)});
+    const auto gateway = fixture.start_gateway("n", "a");
+    cr_assert(fixture.wait_until([&] { return fixture.is_ready(gateway); }));
+    const auto answer = fixture.send_raw_request(gateway, "/s/");
+    cr_expect(answer.starts_with("HTTP/1.1 200 OK\r\n"), "%s", answer.c_str());
+    cr_expect_eq(answer.find("X-Not-Run"), std::string::npos);
+    cr_expect_eq(orders.load(), 1);
+}
+
 } // namespace
 
 Test(broken_answer, status)
@@ -162,3 +213,19 @@
 {
     unsupported_codings_are_not_passed_on();
 }
+Test(broken_answer, chunks)
+{
+    invalid_chunks_are_not_passed_on();
+}
+Test(broken_answer, trailers)
+{
+    invalid_trailers_are_not_passed_on();
+}
+Test(broken_answer, digest_in_trailer)
+{
+    a_digest_in_a_trailer_does_not_count();
+}
+Test(broken_answer, refusal_in_trailer)
+{
+    a_refusal_in_a_trailer_does_not_count();
+}
--- a/packages/transport/include/tamarackhoist/transport/response_parser.hpp
+++ b/packages/transport/include/tamarackhoist/transport/response_parser.hpp
@@ -7,8 +7,9 @@
 namespace tamarackhoist::transport
 {
 
-/// Parses one response. Every response that this system receives over HTTP/1.1
-/// is read by this parser, since Beast's accepts some that are not valid.
+/// Parses one response and discards its trailer. Every response that this
+/// system receives over HTTP/1.1 is read by this parser, since Beast's accepts
+/// some that are not valid.
 class response_parser : public boost::beast::http::response_parser<
                             boost::beast::http::string_body>
 {
--- a/packages/transport/src/response_parser.cpp
+++ b/packages/transport/src/response_parser.cpp
@@ -65,6 +65,11 @@
         error = http::error::bad_field;
         return;
     }
+    if (is_header_done()) {
+        // A field of the trailer must not pass for one of the head, which says
+        // whose response it is and whether the request has run.
+        return;
+    }
     if (field == http::field::transfer_encoding &&
         !is_supported_coding(get().version(), value)) {
         error = http::error::bad_transfer_encoding;
--- a/packages/transport/tests/broken_responses.hpp
+++ b/packages/transport/tests/broken_responses.hpp
@@ -94,6 +94,46 @@
     return responses;
 }
 
+/// Chunked responses whose trailer holds lines that are not fields, or states
+/// how the body is framed.
+[[nodiscard]] inline std::vector<std::string>
+make_invalid_trailers(const std::string& fields)
+{
+    std::vector<std::string> responses;
+    for (const std::string line :
+         {"X Name: value", "X-Name : value", " X-Name: value",
+          "X-\x01Name: value", "X-Name: \x01", "X-Name", ": value",
+          "X-First: value\r\n X-Second: value", "Content-Length: 4",
+          "Transfer-Encoding: chunked"}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + fields +
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "4\r\nbody\r\n0\r\n" +
+                            line + "\r\n\r\n");
+    }
+    return responses;
+}
+
+/// Chunked responses whose framing is not valid.
+[[nodiscard]] inline std::vector<std::string>
+make_invalid_chunks(const std::string& fields)
+{
+    std::vector<std::string> responses;
+    for (const std::string chunks :
+         {"x\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n",
+          "+4\r\nbody\r\n0\r\n\r\n", " 4\r\nbody\r\n0\r\n\r\n",
+          "4 \r\nbody\r\n0\r\n\r\n", "0x4\r\nbody\r\n0\r\n\r\n",
+          "\r\nbody\r\n0\r\n\r\n", "3\r\nbody\r\n0\r\n\r\n",
+          "5\r\nbody\r\n0\r\n\r\n", "4\nbody\n0\n\n",
+          "10000000000000004\r\nbody\r\n0\r\n\r\n",
+          "ffffffffffffffff\r\nbody\r\n0\r\n\r\n",
+          "4;a\x01=b\r\nbody\r\n0\r\n\r\n", "4\r\nbody\r\n0x\r\n\r\n",
+          "4\r\nbody\r\n", "4\r\nbody\r\n0\r\n", "4\r\nbo"}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + fields +
+                            "Transfer-Encoding: chunked\r\n\r\n" + chunks);
+    }
+    return responses;
+}
+
 } // namespace tamarackhoist::transport
 
 #endif
--- a/packages/transport/tests/http_connection_test.cpp
+++ b/packages/transport/tests/http_connection_test.cpp
@@ -222,6 +222,16 @@
     expect_rejected(transport::make_unsupported_codings(""));
 }
 
+void invalid_chunks_are_rejected()
+{
+    expect_rejected(transport::make_invalid_chunks(""));
+}
+
+void invalid_trailers_are_rejected()
+{
+    expect_rejected(transport::make_invalid_trailers(""));
+}
+
 } // namespace
 
 Test(http_connection, status)
@@ -240,6 +250,14 @@
 {
     unsupported_codings_are_rejected();
 }
+Test(http_connection, chunks)
+{
+    invalid_chunks_are_rejected();
+}
+Test(http_connection, trailers)
+{
+    invalid_trailers_are_rejected();
+}
 Test(http_connection, several_exchanges)
 {
     a_connection_carries_several_exchanges();
--- a/packages/upstreams/tests/broken_response_test.cpp
+++ b/packages/upstreams/tests/broken_response_test.cpp
@@ -54,6 +54,31 @@
     expect_rejected(transport::make_unsupported_codings(request_id_line));
 }
 
+void invalid_chunks_are_rejected()
+{
+    expect_rejected(transport::make_invalid_chunks(request_id_line));
+}
+
+void invalid_trailers_are_rejected()
+{
+    expect_rejected(transport::make_invalid_trailers(request_id_line));
+}
+
+/// A field of more than 64 KiB, which Beast can't store, must not end the
+/// process.
+void a_large_trailer_is_survived()
+{
+    pool_fixture fixture([](const std::string&, int) {
+        return scripted_upstream::reply{
+            "HTTP/1.1 200 OK\r\n" + request_id_line +
+                "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Name: " +
+                std::string(64 * 1024, 'v') + "\r\n\r\n",
+            true};
+    });
+    fixture.send("r");
+    fixture.run_until(1);
+}
+
 } // namespace
 
 Test(broken_response, status)
@@ -72,3 +97,15 @@
 {
     unsupported_codings_are_rejected();
 }
+Test(broken_response, chunks)
+{
+    invalid_chunks_are_rejected();
+}
+Test(broken_response, trailers)
+{
+    invalid_trailers_are_rejected();
+}
+Test(broken_response, large_trailer)
+{
+    a_large_trailer_is_survived();
+}
