peers: Take only a response with status 200 for a reply

What could be seen: whatever answered on a peer's port with HTTP/2, a node took the content for its reply, also with status 000 or 500: for the parts of a fan-out that it had relayed, for example.

Found by the search for places that read answers, not reported. Nodes answer 200 always, so that another program would have to hold the port, or a peer be broken.

Cause: the client side of http2_channel did not look at ":status".

Ruled out: 20, 100, 101, 204 with content, and an empty status; nghttp2 resets such streams, before and now.

Change: the content of another response is dropped, and its call ends as not clean, which its callers handle as a failure of the peer.

--- a/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
+++ b/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
@@ -57,7 +57,8 @@
     using stream_id = std::int32_t;
 
     /// Callbacks of one call: one for each reply message, and one for its end.
-    /// `is_clean` is false when the stream was reset or the connection failed.
+    /// `is_clean` is false when the stream was reset, the connection failed or
+    /// the peer did not accept the call.
     struct reply_events {
         std::function<void(std::string_view)> on_message;
         std::function<void(bool is_clean)> on_close;
@@ -109,6 +110,9 @@
         bool is_finished = false;
         /// Set while nghttp2 waits for more data to send.
         bool is_deferred = false;
+        /// Client: whether the peer has accepted the call. The content of any
+        /// other response is not a reply.
+        bool is_accepted = false;
         reply_events events;
     };
 
@@ -121,6 +125,7 @@
     void read_some();
     void flush();
     void close_now();
+    void on_header(stream_id id, std::string_view name, std::string_view value);
     /// Adds received bytes to a stream. Returns false if they are too many.
     bool receive(stream_state& stream, std::string_view bytes);
     /// Passes complete reply messages on. Returns false if one is too large.
--- a/packages/peers/src/http2_channel.cpp
+++ b/packages/peers/src/http2_channel.cpp
@@ -25,6 +25,8 @@
 /// if they arrive late. So they arrive within this time or not at all.
 constexpr auto unacknowledged_timeout = std::chrono::milliseconds(1500);
 constexpr std::size_t length_prefix_bytes = 4;
+/// Status of every response of a node.
+constexpr std::string_view accepted_status = "200";
 constexpr std::uint32_t max_concurrent_streams = 65536;
 constexpr std::int32_t flow_control_window_bytes = 1024 * 1024;
 
@@ -101,14 +103,13 @@
                          const std::uint8_t* value, std::size_t value_length,
                          std::uint8_t, void* user_data)
     {
-        auto& channel = get_channel(user_data);
-        const std::string_view header_name(reinterpret_cast<const char*>(name),
-                                           name_length);
-        if (channel.role_ == http2_channel::role::server &&
-            header_name == ":path") {
-            channel.streams_[frame->hd.stream_id].path = to_call_path(
-                {reinterpret_cast<const char*>(value), value_length});
-        }
+        const auto to_text = [](const std::uint8_t* bytes, std::size_t length) {
+            return std::string_view(reinterpret_cast<const char*>(bytes),
+                                    length);
+        };
+        get_channel(user_data).on_header(frame->hd.stream_id,
+                                         to_text(name, name_length),
+                                         to_text(value, value_length));
         return 0;
     }
 
@@ -393,8 +394,27 @@
     });
 }
 
+void http2_channel::on_header(stream_id id, std::string_view name,
+                              std::string_view value)
+{
+    const auto found = streams_.find(id);
+    if (found == streams_.end()) {
+        return;
+    }
+    auto& stream = found->second;
+    if (role_ == role::server && name == ":path") {
+        stream.path = to_call_path(value);
+    }
+    if (role_ == role::client && name == ":status") {
+        stream.is_accepted = value == accepted_status;
+    }
+}
+
 bool http2_channel::receive(stream_state& stream, std::string_view bytes)
 {
+    if (role_ == role::client && !stream.is_accepted) {
+        return true;
+    }
     buffered_bytes_ += bytes.size();
     stream.received.append(bytes);
     return stream.received.size() <= max_message_bytes + length_prefix_bytes &&
@@ -434,7 +454,7 @@
     if (role_ == role::client || found == streams_.end()) {
         return;
     }
-    const std::array headers{make_header(":status", "200")};
+    const std::array headers{make_header(":status", accepted_status)};
     nghttp2_data_provider provider{};
     provider.read_callback = http2_callbacks::read;
     nghttp2_submit_response(session_, id, headers.data(), headers.size(),
@@ -454,7 +474,7 @@
     buffered_bytes_ -= closed.received.size();
     streams_.erase(found);
     if (closed.events.on_close) {
-        closed.events.on_close(is_clean);
+        closed.events.on_close(is_clean && closed.is_accepted);
     }
 }
 
