peers: Do not end a call cleanly after an incomplete message

What could be seen: the replies of a peer ended in the middle of a message, and the call counted as complete: a node that asked for sections of the document then merged those that had come, as if they were all it would get.

Found by the search for places that read answers, not reported. A relay's call is handled as failed either way.

Cause: http2_channel passed on how the stream was closed, and did not look at bytes that were left over.

Change: a call whose last message is incomplete ends as not clean, like one whose stream is reset.

--- a/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
+++ b/packages/peers/include/tamarackhoist/peers/http2_channel.hpp
@@ -57,8 +57,8 @@
     using stream_id = std::int32_t;
 
     /// Callbacks of one call: one for each reply message, and one for its end.
-    /// `is_clean` is false when the stream was reset, the connection failed or
-    /// the peer did not accept the call.
+    /// `is_clean` is false when the stream was reset, the connection failed,
+    /// the peer did not accept the call or its last message is incomplete.
     struct reply_events {
         std::function<void(std::string_view)> on_message;
         std::function<void(bool is_clean)> on_close;
--- a/packages/peers/src/http2_channel.cpp
+++ b/packages/peers/src/http2_channel.cpp
@@ -473,8 +473,9 @@
     auto closed = std::move(found->second);
     buffered_bytes_ -= closed.received.size();
     streams_.erase(found);
+    const bool is_cut_off = !closed.received.empty();
     if (closed.events.on_close) {
-        closed.events.on_close(is_clean && closed.is_accepted);
+        closed.events.on_close(is_clean && closed.is_accepted && !is_cut_off);
     }
 }
 
--- a/packages/peers/tests/broken_reply_test.cpp
+++ b/packages/peers/tests/broken_reply_test.cpp
@@ -74,6 +74,16 @@
     }
 }
 
+void a_reply_that_is_cut_off_does_not_end_cleanly()
+{
+    for (std::size_t size = 1; size < message.size(); ++size) {
+        const auto outcome =
+            call_peer({"200", message + message.substr(0, size)});
+        cr_expect(outcome.messages == std::vector<std::string>{"text"});
+        cr_expect(outcome.is_clean == false, "%zu", size);
+    }
+}
+
 } // namespace
 
 Test(broken_reply, none)
@@ -84,3 +94,7 @@
 {
     replies_with_another_status_are_rejected();
 }
+Test(broken_reply, cut_off)
+{
+    a_reply_that_is_cut_off_does_not_end_cleanly();
+}
