transport: Reject a switch of protocols that no request asks for

What callers could see: an upstream answered 101, after which its connection does not speak HTTP/1.1 any more; what followed was read as the response if it looked like one.

Found by the search for places that read answers, not reported.

Cause: response_reader skips every interim response, and 101 is one. The node removes Upgrade from requests, so it is never an answer to one.

Ruled out: http_connection, which expects no interim response at all.

Change: response_parser does not accept the status code 101.

Evidence: broken_response_test switching_protocols: answered on, broken now. Other interim responses are skipped as before (response_reader_test).

--- a/packages/transport/src/response_parser.cpp
+++ b/packages/transport/src/response_parser.cpp
@@ -13,12 +13,15 @@
 namespace
 {
 
-/// Returns whether HTTP defines the class of the status code.
+/// Returns whether HTTP defines the class of the status code, and allows it in
+/// a response to a request that does not ask for another protocol.
 bool is_valid_status(int status)
 {
     constexpr int min_status = 100;
     constexpr int max_status = 599;
-    return status >= min_status && status <= max_status;
+    constexpr int switching_protocols = 101;
+    return status >= min_status && status <= max_status &&
+           status != switching_protocols;
 }
 
 /// Returns whether the value was continued on further lines, each of which
--- a/packages/upstreams/tests/broken_response_test.cpp
+++ b/packages/upstreams/tests/broken_response_test.cpp
@@ -79,6 +79,14 @@
     fixture.run_until(1);
 }
 
+/// No request asks for another protocol, so what follows belongs to none.
+void a_switch_of_protocols_is_rejected()
+{
+    expect_rejected({"HTTP/1.1 101 Switching Protocols\r\n"
+                     "Connection: upgrade\r\nUpgrade: other\r\n\r\n" +
+                     upstreams::make_reply("r", "body")});
+}
+
 } // namespace
 
 Test(broken_response, status)
@@ -109,3 +117,7 @@
 {
     a_large_trailer_is_survived();
 }
+Test(broken_response, switching_protocols)
+{
+    a_switch_of_protocols_is_rejected();
+}
