node: Leave out a part of a fan-out whose digest is a list

What callers could see: one upstream sent a digest that holds a comma. The caller of a fan-out gets the digests as a list separated by commas, so it saw an entry more than there were parts, and the whole answer was wrong.

Found by the search for places that read answers, not reported.

Cause: a part needed a digest, of whatever form.

Change: for a fan-out, such a response counts as one without a digest: it is broken, may be tried on another replica, and is counted as missing otherwise. Relays classify parts by the same function. Other requests get the upstream's digest unchanged, as before.

--- a/packages/node/src/forward_message.cpp
+++ b/packages/node/src/forward_message.cpp
@@ -66,10 +66,15 @@
 }
 
 bool has_digest(const transport::http_response& response,
-                const forward_fields& fields)
+                const forward_fields& fields, bool is_fan_out)
 {
     const auto field = response.find(fields.digest);
-    return field != response.end() && !field->value().empty();
+    if (field == response.end() || field->value().empty()) {
+        return false;
+    }
+    // The caller of a fan-out gets a list of digests, separated by commas.
+    return !is_fan_out ||
+           field->value().find(',') == boost::beast::string_view::npos;
 }
 
 std::string to_text(boost::beast::string_view text)
@@ -162,8 +167,8 @@
         response.find(fields.not_executed) != response.end()) {
         return attempt_result::not_executed;
     }
-    if (!has_digest(response, fields)) {
-        // Without a digest, the response is not from the upstream's
+    if (!has_digest(response, fields, is_fan_out)) {
+        // Without a valid digest, the response is not from the upstream's
         // application, which may have executed the request.
         return attempt_result::broken;
     }
--- a/packages/node/tests/broken_answer_test.cpp
+++ b/packages/node/tests/broken_answer_test.cpp
@@ -195,6 +195,59 @@
     cr_expect_eq(orders.load(), 1);
 }
 
+/// Callers get the digests of a fan-out as a list, separated by commas. One
+/// that holds a comma would add an entry and spoil the whole answer.
+void a_part_whose_digest_is_a_list_is_missing()
+{
+    gateway_fixture fixture;
+    policy::route route;
+    route.name = "q";
+    route.host = "h";
+    route.prefix = "/q/";
+    route.repeat = policy::repeatability::idempotent;
+    route.timeout = 1000ms;
+    route.latency_target = 400ms;
+    route.max_attempts = 2;
+    route.shards = {"s0", "s1", "s2"};
+    route.top_records = 1;
+    route.min_coverage = 0.5;
+    const std::vector<std::string> digests{"d0", "d1", "d2, d3"};
+    for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
+        const auto& service = route.shards[shard];
+        fixture.add_scripted_upstream(
+            service, service, "a",
+            [digest = digests[shard]](const std::string& header, int) {
+                return scripted_upstream::reply{
+                    "HTTP/1.1 200 OK\r\nX-Id: " +
+                    upstreams::parse_request_id(header) +
+                    "\r\nX-Digest: " + digest + "\r\n" + transport::sized_body};
+            });
+    }
+    fixture.set_routes(1, {route});
+    const auto near = fixture.start_gateway("near", "a");
+    const auto far = fixture.start_gateway("far", "b");
+    cr_assert(fixture.wait_until(
+        [&] { return fixture.is_ready(near) && fixture.is_ready(far); }));
+    // The node in another failure domain asks through the one beside the
+    // upstreams once it has discovered it.
+    for (int number = 0; number < 20; ++number) {
+        for (const auto gateway : {near, far}) {
+            const auto answer = fixture.send_raw_request(
+                gateway, "/q/", "r" + std::to_string(number));
+            cr_expect(answer.starts_with("HTTP/1.1 200 OK\r\n"), "%s",
+                      answer.c_str());
+            const bool has_others = answer.find("d0") != std::string::npos &&
+                                    answer.find("d1") != std::string::npos;
+            cr_expect(has_others, "%s", answer.c_str());
+            cr_expect_eq(answer.find("d2"), std::string::npos, "%s",
+                         answer.c_str());
+            cr_expect_neq(answer.find("X-Missing: 1\r\n"), std::string::npos,
+                          "%s", answer.c_str());
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+}
+
 } // namespace
 
 Test(broken_answer, status)
@@ -229,3 +282,7 @@
 {
     a_refusal_in_a_trailer_does_not_count();
 }
+Test(broken_answer, digest_list)
+{
+    a_part_whose_digest_is_a_list_is_missing();
+}
