node: Let the counters of broken_answer_test outlive its upstreams

The scripts of stand-in upstreams run on the fixture's thread, which ended after the counters that they increase. Nothing but the order of two declarations in two tests changes.

--- a/packages/node/tests/broken_answer_test.cpp
+++ b/packages/node/tests/broken_answer_test.cpp
@@ -93,8 +93,8 @@
 {
     constexpr int requests = 30;
     constexpr int min_valid_answers = 25;
-    gateway_fixture fixture;
     std::atomic<int> broken_responses = 0;
+    gateway_fixture fixture;
     fixture.add_scripted_upstream(
         "broken", "s", "a",
         make_script([&, make_responses](const std::string& fields) {
@@ -176,8 +176,8 @@
 /// must not make the gateway send an order again.
 void a_refusal_in_a_trailer_does_not_count()
 {
-    gateway_fixture fixture;
     std::atomic<int> orders = 0;
+    gateway_fixture fixture;
     for (const std::string id : {"u0", "u1"}) {
         fixture.add_scripted_upstream(
             id, "s", "a", make_script([&](const std::string& fields) {
