peers: Look a stream up only for the header that it needs

Since every header of a call between nodes looked its stream up, four for each call where one is used.

--- a/packages/peers/src/http2_channel.cpp
+++ b/packages/peers/src/http2_channel.cpp
@@ -397,17 +397,18 @@
 void http2_channel::on_header(stream_id id, std::string_view name,
                               std::string_view value)
 {
+    if (name != (role_ == role::server ? ":path" : ":status")) {
+        return;
+    }
     const auto found = streams_.find(id);
     if (found == streams_.end()) {
         return;
     }
-    auto& stream = found->second;
-    if (role_ == role::server && name == ":path") {
-        stream.path = to_call_path(value);
-    }
-    if (role_ == role::client && name == ":status") {
-        stream.is_accepted = value == accepted_status;
+    if (role_ == role::server) {
+        found->second.path = to_call_path(value);
+        return;
     }
+    found->second.is_accepted = value == accepted_status;
 }
 
 bool http2_channel::receive(stream_state& stream, std::string_view bytes)
