tests: Build routes, trailers and pieces in one place each

The tests of broken answers repeated what stood beside them: the common part of a route (gateway_test twice, broken_answer_test twice), a chunked response with a trailer (three times) and the loop that passes bytes on in pieces (twice). Each is one function now: make_route of the fixture, make_response_with_trailer and read_in_pieces. Bytes, values and assertions are the same.

--- a/packages/node/tests/broken_answer_test.cpp
+++ b/packages/node/tests/broken_answer_test.cpp
@@ -32,17 +32,11 @@
     return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nvalid";
 }
 
+/// Returns a route to `service`, whose prefix bears its name.
 policy::route make_route(const std::string& service,
                          policy::repeatability repeat)
 {
-    policy::route route;
-    route.name = service;
-    route.host = "h";
-    route.prefix = "/" + service + "/";
-    route.repeat = repeat;
-    route.timeout = 1000ms;
-    route.latency_target = 400ms;
-    route.max_attempts = 2;
+    auto route = node::make_route(service, "/" + service + "/", repeat);
     route.services = {{service, 1.0}};
     return route;
 }
@@ -154,21 +148,13 @@
     expect_not_passed_on(transport::make_invalid_trailers);
 }
 
-std::string make_response_with_trailer(const std::string& fields,
-                                       const std::string& trailer)
-{
-    return "HTTP/1.1 200 OK\r\n" + fields +
-           "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer +
-           "\r\n";
-}
-
 /// The digest covers the response only if its head holds it.
 void a_digest_in_a_trailer_does_not_count()
 {
     expect_not_passed_on([](const std::string& fields) {
         const auto id_line = fields.substr(0, fields.find("X-Digest"));
         return std::vector<std::string>{
-            make_response_with_trailer(id_line, "X-Digest: d\r\n")};
+            transport::make_response_with_trailer(id_line, "X-Digest: d\r\n")};
     });
 }
 
@@ -182,7 +168,8 @@
         fixture.add_scripted_upstream(
             id, "s", "a", make_script([&](const std::string& fields) {
                 ++orders;
-                return make_response_with_trailer(fields, "X-Not-Run: 1\r\n");
+                return transport::make_response_with_trailer(
+                    fields, "X-Not-Run: 1\r\n");
             }));
     }
     fixture.set_routes(1,
@@ -200,14 +187,8 @@
 void a_part_whose_digest_is_a_list_is_missing()
 {
     gateway_fixture fixture;
-    policy::route route;
-    route.name = "q";
-    route.host = "h";
-    route.prefix = "/q/";
-    route.repeat = policy::repeatability::idempotent;
-    route.timeout = 1000ms;
-    route.latency_target = 400ms;
-    route.max_attempts = 2;
+    auto route =
+        node::make_route("q", "/q/", policy::repeatability::idempotent);
     route.shards = {"s0", "s1", "s2"};
     route.top_records = 1;
     route.min_coverage = 0.5;
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -138,6 +138,22 @@
     std::array<std::atomic<bool>, max_clients> has_lost_history_{};
 };
 
+/// Returns a route of host "h" that leads nowhere yet.
+[[nodiscard]] inline policy::route make_route(const std::string& name,
+                                              const std::string& prefix,
+                                              policy::repeatability repeat)
+{
+    policy::route route;
+    route.name = name;
+    route.host = "h";
+    route.prefix = prefix;
+    route.repeat = repeat;
+    route.timeout = std::chrono::seconds(1);
+    route.latency_target = std::chrono::milliseconds(400);
+    route.max_attempts = 2;
+    return route;
+}
+
 /// A request that a fake upstream received.
 struct received_request {
     std::string upstream;
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -33,14 +33,8 @@
 
 policy::route make_fan_out_route()
 {
-    policy::route route;
-    route.name = "history";
-    route.host = "h";
-    route.prefix = "/q/";
-    route.repeat = policy::repeatability::idempotent;
-    route.timeout = 1000ms;
-    route.latency_target = 400ms;
-    route.max_attempts = 2;
+    auto route =
+        node::make_route("history", "/q/", policy::repeatability::idempotent);
     route.shards = {"s0", "s1", "s2", "s3"};
     route.top_records = 3;
     route.min_coverage = 0.75;
@@ -49,14 +43,8 @@
 
 policy::route make_order_route()
 {
-    policy::route route;
-    route.name = "order";
-    route.host = "h";
-    route.prefix = "/o/";
-    route.repeat = policy::repeatability::at_most_once;
-    route.timeout = 1000ms;
-    route.latency_target = 400ms;
-    route.max_attempts = 2;
+    auto route =
+        node::make_route("order", "/o/", policy::repeatability::at_most_once);
     route.services = {{"orders", 1.0}};
     return route;
 }
--- a/packages/transport/tests/broken_responses.hpp
+++ b/packages/transport/tests/broken_responses.hpp
@@ -94,6 +94,16 @@
     return responses;
 }
 
+/// A chunked response. `trailer` consists of complete lines.
+[[nodiscard]] inline std::string
+make_response_with_trailer(const std::string& fields,
+                           const std::string& trailer)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields +
+           "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer +
+           "\r\n";
+}
+
 /// Chunked responses whose trailer holds lines that are not fields, or states
 /// how the body is framed.
 [[nodiscard]] inline std::vector<std::string>
@@ -105,10 +115,7 @@
           "X-\x01Name: value", "X-Name: \x01", "X-Name", ": value",
           "X-First: value\r\n X-Second: value", "Content-Length: 4",
           "Transfer-Encoding: chunked"}) {
-        responses.push_back("HTTP/1.1 200 OK\r\n" + fields +
-                            "Transfer-Encoding: chunked\r\n\r\n"
-                            "4\r\nbody\r\n0\r\n" +
-                            line + "\r\n\r\n");
+        responses.push_back(make_response_with_trailer(fields, line + "\r\n"));
     }
     return responses;
 }
--- a/packages/upstreams/tests/broken_response_test.cpp
+++ b/packages/upstreams/tests/broken_response_test.cpp
@@ -70,9 +70,9 @@
 {
     pool_fixture fixture([](const std::string&, int) {
         return scripted_upstream::reply{
-            "HTTP/1.1 200 OK\r\n" + request_id_line +
-                "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Name: " +
-                std::string(64 * 1024, 'v') + "\r\n\r\n",
+            transport::make_response_with_trailer(
+                request_id_line,
+                "X-Name: " + std::string(64 * 1024, 'v') + "\r\n"),
             true};
     });
     fixture.send("r");
--- a/packages/upstreams/tests/response_reader_test.cpp
+++ b/packages/upstreams/tests/response_reader_test.cpp
@@ -126,6 +126,18 @@
     }
 }
 
+/// Passes the bytes on in pieces of `size`. Returns the progress at the end.
+response_reader::progress read_in_pieces(response_reader& reader,
+                                         std::string_view bytes,
+                                         std::size_t size)
+{
+    auto progress = response_reader::progress::incomplete;
+    for (std::size_t at = 0; at < bytes.size(); at += size) {
+        progress = reader.read(bytes.substr(at, size));
+    }
+    return progress;
+}
+
 /// However the bytes are cut, the same response is read.
 void a_response_is_read_in_any_pieces()
 {
@@ -137,10 +149,7 @@
     for (std::size_t size = 1; size <= bytes.size(); ++size) {
         response_reader reader({.request_id_field = "X-Id"});
         reader.start("r", false);
-        auto progress = response_reader::progress::incomplete;
-        for (std::size_t at = 0; at < bytes.size(); at += size) {
-            progress = reader.read(std::string_view(bytes).substr(at, size));
-        }
+        const auto progress = read_in_pieces(reader, bytes, size);
         cr_assert(progress == response_reader::progress::complete, "%zu", size);
         cr_assert(!reader.has_excess());
         cr_assert_eq(reader.take_response().body(), "abcde");
@@ -180,10 +189,7 @@
     for (std::size_t size = 1; size <= bytes.size(); ++size) {
         response_reader reader({.request_id_field = "X-Id"});
         reader.start("r", false);
-        auto progress = response_reader::progress::incomplete;
-        for (std::size_t at = 0; at < bytes.size(); at += size) {
-            progress = reader.read(std::string_view(bytes).substr(at, size));
-        }
+        const auto progress = read_in_pieces(reader, bytes, size);
         cr_assert(progress == response_reader::progress::complete, "%zu", size);
         const auto response = reader.take_response();
         cr_assert_eq(response.result_int(), 599U);
