node: Look hop-by-hop fields up in a set

Callers saw: one request inside the limits held up the whole node. A head that names many fields in Connection and has many fields itself took 2.6 s of processor time (20 requests, 51.7 s; limit of 64 KiB), since each field was compared with each name, and each comparison copied a locale.

Cause: read_connection_options returned a list that was searched for each field. Ruled out: the parser, as a head of the same size without Connection takes a few milliseconds.

--- a/packages/node/src/forward_message.cpp
+++ b/packages/node/src/forward_message.cpp
@@ -3,16 +3,16 @@
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <charconv>
+#include <locale>
+#include <set>
 #include <tamarackhoist/policy/record_merge.hpp>
 
 namespace tamarackhoist::node
 {
 
 namespace http = boost::beast::http;
-using boost::algorithm::iequals;
 using callers::forward_answer;
 using policy::attempt_result;
 
@@ -34,35 +34,47 @@
                                        http::field::proxy_authenticate,
                                        http::field::proxy_authorization};
 
+std::string to_text(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Orders the names of fields, without regard to case.
+struct field_name_order {
+    bool operator()(std::string_view left, std::string_view right) const
+    {
+        return boost::algorithm::ilexicographical_compare(
+            left, right, std::locale::classic());
+    }
+};
+
+using field_names = std::set<std::string, field_name_order>;
+
 /// Returns the names of the fields that the Connection field of `message`
 /// declares as hop-by-hop.
-std::vector<std::string> read_connection_options(const http::fields& message)
+field_names read_connection_options(const http::fields& message)
 {
-    std::vector<std::string> names;
+    field_names names;
     const auto field = message.find(http::field::connection);
     if (field == message.end()) {
         return names;
     }
-    const std::string value(field->value().data(), field->value().size());
-    boost::algorithm::split(names, value,
-                            [](char character) { return character == ','; });
-    for (auto& name : names) {
-        boost::algorithm::trim(name);
+    std::string_view rest(field->value().data(), field->value().size());
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find(','), rest.size());
+        names.insert(
+            boost::algorithm::trim_copy(std::string(rest.substr(0, end))));
+        rest.remove_prefix(std::min(end + 1, rest.size()));
     }
     return names;
 }
 
 bool is_forwarded(const http::fields::value_type& field,
-                  std::span<const std::string> excluded)
+                  const field_names& excluded)
 {
-    if (std::find(hop_by_hop_fields.begin(), hop_by_hop_fields.end(),
-                  field.name()) != hop_by_hop_fields.end()) {
-        return false;
-    }
-    return std::none_of(excluded.begin(), excluded.end(),
-                        [&](const std::string& name) {
-                            return iequals(name, field.name_string());
-                        });
+    return std::find(hop_by_hop_fields.begin(), hop_by_hop_fields.end(),
+                     field.name()) == hop_by_hop_fields.end() &&
+           !excluded.contains(to_text(field.name_string()));
 }
 
 bool has_digest(const transport::http_response& response,
@@ -77,11 +89,6 @@
            field->value().find(',') == boost::beast::string_view::npos;
 }
 
-std::string to_text(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 } // namespace
 
 std::string make_request_head(const transport::http_request& request,
@@ -93,8 +100,8 @@
     head.append(to_text(request.target()));
     head.append(" HTTP/1.1\r\n");
     auto excluded = read_connection_options(request);
-    excluded.push_back(fields.time_left_ms);
-    excluded.push_back(fields.expected_upstream);
+    excluded.insert(fields.time_left_ms);
+    excluded.insert(fields.expected_upstream);
     for (const auto& field : request) {
         if (!is_forwarded(field, excluded)) {
             continue;
