callers, upstreams: Release a request once it is answered

Cause: a connection kept its last request, body included, and the last answer's buffer until its next request; a connection to an upstream kept the copy that it had sent. Ruled out: the sum of what arrives at once, as each caller had its answer before the next one sent. Change: the request belongs to the exchange and goes with its last user; buffers are freed after they are written.

--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -28,23 +28,20 @@
 
 } // namespace
 
-/// Handle to the request that the connection is processing. The state is in the
-/// connection, so that an answer after the caller has disconnected has no
-/// effect.
+/// A request of the connection, which is released with its last user. The state
+/// is in the connection, so that an answer after the caller has disconnected
+/// has no effect.
 class caller_connection::exchange : public forward_exchange
 {
 public:
     exchange(std::shared_ptr<caller_connection> connection,
-             runtime::time_point received_at)
-        : connection_(std::move(connection)), received_at_(received_at),
-          serial_(connection_->request_count_)
+             transport::http_request request, runtime::time_point received_at)
+        : connection_(std::move(connection)), request_(std::move(request)),
+          received_at_(received_at), serial_(connection_->request_count_)
     {
     }
 
-    const transport::http_request& request() const override
-    {
-        return connection_->request_;
-    }
+    const transport::http_request& request() const override { return request_; }
 
     runtime::time_point received_at() const override { return received_at_; }
 
@@ -65,6 +62,7 @@
 
 private:
     const std::shared_ptr<caller_connection> connection_;
+    const transport::http_request request_;
     const runtime::time_point received_at_;
     const std::uint64_t serial_;
 };
@@ -198,10 +196,12 @@
     state_ = state::handling;
     ++request_count_;
     ++server_->in_flight_;
-    request_ = parser_->release();
-    closes_after_answer_ = !request_.keep_alive();
+    auto request = parser_->release();
+    is_head_ = request.method() == http::verb::head;
+    closes_after_answer_ = !request.keep_alive();
     const auto now = server_->clock_.now();
-    server_->handle_(std::make_shared<exchange>(shared_from_this(), now));
+    server_->handle_(std::make_shared<exchange>(shared_from_this(),
+                                                std::move(request), now));
 }
 
 void caller_connection::reject(unsigned status, std::string reason)
@@ -213,7 +213,7 @@
     ++request_count_;
     closes_after_answer_ = true;
     unparsed_.clear();
-    request_ = {};
+    is_head_ = false;
     respond({status, std::move(reason), {}, {}, true});
 }
 
@@ -232,7 +232,7 @@
     text.append("Content-Length: ")
         .append(std::to_string(answer.body.size()))
         .append("\r\n\r\n");
-    if (request_.method() != http::verb::head) {
+    if (!is_head_) {
         text.append(answer.body);
     }
     return text;
@@ -280,7 +280,7 @@
 void caller_connection::finish_write()
 {
     --server_->in_flight_;
-    output_.clear();
+    std::string().swap(output_);
     if (closes_after_answer_) {
         error_code ignored;
         // Keep reading what the caller still sends: closing the socket with
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -54,13 +54,14 @@
     policy::request_limits limits_;
     std::optional<parser_type> parser_;
     std::string unparsed_;
-    transport::http_request request_;
     std::string output_;
     std::size_t written_bytes_ = 0;
     std::function<void()> on_abandoned_;
     std::uint64_t request_count_ = 0;
     state state_ = state::reading;
     bool has_partial_request_ = false;
+    /// Whether the answer in progress is one to HEAD, which has no body.
+    bool is_head_ = false;
     bool is_read_pending_ = false;
     bool closes_after_answer_ = false;
 };
--- a/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
+++ b/packages/upstreams/include/tamarackhoist/upstreams/forward_connection.hpp
@@ -107,6 +107,7 @@
     void handle_complete_response();
     void reject(response_fault fault);
     void write_remaining(std::size_t written);
+    void finish_write();
     void update_idle_timeout(const transport::http_response& response);
     void fail();
 
--- a/packages/upstreams/src/forward_connection.cpp
+++ b/packages/upstreams/src/forward_connection.cpp
@@ -128,7 +128,7 @@
         return;
     }
     if (written == request_.bytes.size()) {
-        is_request_written_ = true;
+        finish_write();
         return;
     }
     write_remaining(written);
@@ -143,10 +143,16 @@
                               self->fail();
                               return;
                           }
-                          self->is_request_written_ = true;
+                          self->finish_write();
                       });
 }
 
+void forward_connection::finish_write()
+{
+    is_request_written_ = true;
+    std::string().swap(request_.bytes);
+}
+
 void forward_connection::read()
 {
     auto self = shared_from_this();
