callers: Drop what a caller sends after its last answer

Cause: while a connection closes, the node kept on storing what still arrived, 64 KiB and a read for each, until the header timeout, beside the parser with the part of the rejected request. Change: a state of its own after the last answer. What arrives is dropped, and the connection closed once that exceeds the size of a request.

--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -122,6 +122,10 @@
         abandon();
         return;
     }
+    if (state_ == state::lingering) {
+        discard(bytes.size());
+        return;
+    }
     unparsed_.append(bytes);
     if (state_ == state::reading) {
         parse();
@@ -133,6 +137,16 @@
     }
 }
 
+void caller_connection::discard(std::size_t bytes)
+{
+    discarded_bytes_ += bytes;
+    if (discarded_bytes_ > limits_.max_header_bytes + limits_.max_body_bytes) {
+        close();
+        return;
+    }
+    read();
+}
+
 void caller_connection::parse()
 {
     while (state_ == state::reading && !unparsed_.empty()) {
@@ -283,10 +297,12 @@
     std::string().swap(output_);
     if (closes_after_answer_) {
         error_code ignored;
-        // Keep reading what the caller still sends: closing the socket with
+        // Read and drop what the caller still sends: closing the socket with
         // unread data resets the connection, and the answer may be lost.
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
-        unparsed_.clear();
+        state_ = state::lingering;
+        parser_.reset();
+        std::string().swap(unparsed_);
         arm_timer(limits_.header_timeout);
         read();
         return;
@@ -315,7 +331,7 @@
         reject(status_timeout, "Request Timeout");
         return;
     }
-    if (state_ == state::reading || state_ == state::writing) {
+    if (state_ != state::handling) {
         abandon();
     }
 }
@@ -323,8 +339,7 @@
 void caller_connection::abandon()
 {
     const auto on_abandoned = std::exchange(on_abandoned_, nullptr);
-    if (state_ == state::handling ||
-        (state_ == state::writing && !output_.empty())) {
+    if (state_ == state::handling || state_ == state::writing) {
         --server_->in_flight_;
     }
     close();
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -30,11 +30,16 @@
     using parser_type =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    enum class state { reading, handling, writing, closed };
+    /// `lingering` is the state after the last answer, in which the caller may
+    /// still be sending.
+    enum class state { reading, handling, writing, lingering, closed };
 
     void start_next_request();
     void read();
     void handle_read(boost::system::error_code error, std::string_view bytes);
+    /// Drops data that arrives after the last answer, up to the size of a
+    /// request.
+    void discard(std::size_t bytes);
     void parse();
     [[nodiscard]] bool has_unsupported_transfer_coding() const;
     void handle_complete_request();
@@ -56,6 +61,7 @@
     std::string unparsed_;
     std::string output_;
     std::size_t written_bytes_ = 0;
+    std::size_t discarded_bytes_ = 0;
     std::function<void()> on_abandoned_;
     std::uint64_t request_count_ = 0;
     state state_ = state::reading;
