callers: Bound what the requests of all callers hold together

Callers in a crowd ended a process: out of memory.

Cause: the limits bind one request; their sum was bounded only by 3,000 connections, 1 GB at the users' limits. A field takes more than its bytes: 64 KiB of small ones, 1.2 MB. Change: each connection reports what it holds to the connection_limiter: buffers, parsed fields, body. All may hold an eighth of the node's memory. Over it, the request that has been arriving longest is refused with 503 and Retry-After, as it has not run; a complete one only if requests in service take all the room. 400, 413 and 431 stay for requests outside the limits.

--- a/packages/callers/include/tamarackhoist/callers/forward_server.hpp
+++ b/packages/callers/include/tamarackhoist/callers/forward_server.hpp
@@ -9,11 +9,12 @@
 #include <memory>
 #include <string>
 #include <tamarackhoist/callers/forward_exchange.hpp>
+#include <tamarackhoist/policy/connection_limiter.hpp>
 #include <tamarackhoist/policy/routing_table.hpp>
 #include <tamarackhoist/runtime/clock.hpp>
 #include <tamarackhoist/runtime/result.hpp>
 #include <tamarackhoist/transport/endpoint.hpp>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace tamarackhoist::callers
 {
@@ -32,8 +33,16 @@
 
     struct options {
         transport::endpoint listen_endpoint;
-        /// Connections beyond this number are closed on arrival.
-        std::size_t max_connections = 3000;
+        /// What all callers together may take of this node.
+        policy::connection_limiter::limits limits = {
+            .max_connections = 2048,
+            .max_request_bytes = 32 * 1024 * 1024,
+            .max_answer_bytes = 32 * 1024 * 1024};
+        /// Makes the answer to a request that is refused for want of room.
+        std::function<forward_answer()> make_refusal = [] {
+            return forward_answer{
+                503, "Service Unavailable", {{"Retry-After", "1"}}, {}, true};
+        };
     };
 
     /// Creates a server that listens on `options::listen_endpoint`. An error
@@ -58,6 +67,11 @@
     {
         return connections_.size();
     }
+    /// Memory that requests and answers hold beyond what each connection may.
+    [[nodiscard]] std::size_t counted_bytes() const
+    {
+        return limiter_.counted_bytes();
+    }
     /// Port that the server listens on.
     [[nodiscard]] std::uint16_t port() const;
 
@@ -69,6 +83,10 @@
                    boost::asio::ip::tcp::acceptor acceptor);
 
     void accept();
+    void serve(boost::asio::ip::tcp::socket socket);
+    /// Gives up requests and answers until the others are within their limits
+    /// or in service.
+    void make_room_for_bytes();
 
     boost::asio::io_context& context_;
     const runtime::clock clock_;
@@ -77,7 +95,10 @@
     const handler handle_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer accept_retry_timer_;
-    std::unordered_set<std::shared_ptr<caller_connection>> connections_;
+    policy::connection_limiter limiter_;
+    std::unordered_map<policy::connection_limiter::connection_id,
+                       std::shared_ptr<caller_connection>>
+        connections_;
     std::size_t in_flight_ = 0;
     bool is_draining_ = false;
 };
--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -18,7 +18,7 @@
 {
 
 /// Limit of the data buffered for later requests while one is answered; reading
-/// pauses above it.
+/// pauses at it.
 constexpr std::size_t max_pipelined_bytes = 64 * 1024;
 
 constexpr unsigned status_bad_request = 400;
@@ -49,8 +49,7 @@
 
     void respond(forward_answer answer) override
     {
-        if (connection_->state_ == state::handling &&
-            connection_->request_count_ == serial_) {
+        if (is_open()) {
             connection_->respond(std::move(answer));
         }
     }
@@ -61,6 +60,13 @@
     }
 
 private:
+    /// Whether the caller still waits for the answer.
+    [[nodiscard]] bool is_open() const
+    {
+        return connection_->state_ == state::handling &&
+               connection_->request_count_ == serial_;
+    }
+
     const std::shared_ptr<caller_connection> connection_;
     const transport::http_request request_;
     const runtime::time_point received_at_;
@@ -68,8 +74,8 @@
 };
 
 caller_connection::caller_connection(std::shared_ptr<forward_server> server,
-                                     tcp::socket socket)
-    : server_(std::move(server)), socket_(std::move(socket)),
+                                     connection_id id, tcp::socket socket)
+    : server_(std::move(server)), id_(id), socket_(std::move(socket)),
       timer_(socket_.get_executor())
 {
 }
@@ -93,6 +99,10 @@
     limits_ = server_->limits_();
     state_ = state::reading;
     has_partial_request_ = false;
+    request_bytes_ = 0;
+    if (request_count_ > 0) {
+        set_phase(policy::connection_phase::idle);
+    }
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser_->body_limit(limits_.max_body_bytes);
@@ -100,9 +110,16 @@
     arm_timer(limits_.idle_timeout);
 }
 
+bool caller_connection::is_answering() const
+{
+    return state_ == state::handling || state_ == state::writing;
+}
+
 void caller_connection::read()
 {
-    if (is_read_pending_ || state_ == state::closed) {
+    const bool is_paused =
+        is_answering() && unparsed_.size() >= max_pipelined_bytes;
+    if (is_read_pending_ || is_paused || state_ == state::closed) {
         return;
     }
     is_read_pending_ = true;
@@ -129,12 +146,9 @@
     unparsed_.append(bytes);
     if (state_ == state::reading) {
         parse();
+        report_held_bytes();
     }
-    const bool is_paused =
-        state_ != state::reading && unparsed_.size() >= max_pipelined_bytes;
-    if (!is_paused) {
-        read();
-    }
+    read();
 }
 
 void caller_connection::discard(std::size_t bytes)
@@ -147,18 +161,50 @@
     read();
 }
 
+std::size_t caller_connection::held_bytes() const
+{
+    auto bytes = request_bytes_ + unparsed_.capacity() + output_.capacity();
+    if (state_ == state::reading && parser_->is_header_done()) {
+        bytes += parser_->get().body().capacity();
+    }
+    return bytes;
+}
+
+void caller_connection::report_held_bytes()
+{
+    if (state_ == state::closed) {
+        return;
+    }
+    server_->limiter_.set_held_bytes(id_, held_bytes());
+    server_->make_room_for_bytes();
+}
+
+void caller_connection::set_phase(policy::connection_phase phase)
+{
+    server_->limiter_.set_phase(id_, phase);
+}
+
 void caller_connection::parse()
 {
     while (state_ == state::reading && !unparsed_.empty()) {
         if (!has_partial_request_) {
             has_partial_request_ = true;
+            set_phase(policy::connection_phase::receiving);
             arm_timer(limits_.header_timeout);
         }
         const bool was_header_done = parser_->is_header_done();
         error_code error;
         const auto consumed = parser_->put(asio::buffer(unparsed_), error);
+        if (!was_header_done && !parser_->is_header_done()) {
+            request_bytes_ += transport::estimate_field_bytes(
+                std::string_view(unparsed_).substr(0, consumed));
+        }
         unparsed_.erase(0, consumed);
+        if (unparsed_.empty()) {
+            std::string().swap(unparsed_);
+        }
         if (!was_header_done && parser_->is_header_done()) {
+            request_bytes_ = transport::count_field_bytes(parser_->get());
             arm_timer(limits_.idle_timeout);
         }
         // The parser leaves incomplete lines to the caller. It limits those of
@@ -207,10 +253,18 @@
 void caller_connection::handle_complete_request()
 {
     timer_.cancel();
+    set_phase(policy::connection_phase::serving);
+    report_held_bytes();
+    if (!server_->limiter_.has_room_for_bytes(id_)) {
+        reject(server_->options_.make_refusal());
+        return;
+    }
+    auto request = parser_->release();
+    request_bytes_ += request.body().capacity();
+    unparsed_.shrink_to_fit();
     state_ = state::handling;
     ++request_count_;
     ++server_->in_flight_;
-    auto request = parser_->release();
     is_head_ = request.method() == http::verb::head;
     closes_after_answer_ = !request.keep_alive();
     const auto now = server_->clock_.now();
@@ -220,15 +274,34 @@
 
 void caller_connection::reject(unsigned status, std::string reason)
 {
-    runtime::log_event(runtime::event_number::caller_request_rejected, reason);
+    reject({status, std::move(reason), {}, {}, true});
+}
+
+void caller_connection::reject(forward_answer answer)
+{
+    runtime::log_event(runtime::event_number::caller_request_rejected,
+                       answer.reason);
     timer_.cancel();
     state_ = state::handling;
     ++server_->in_flight_;
     ++request_count_;
     closes_after_answer_ = true;
-    unparsed_.clear();
+    parser_.reset();
+    std::string().swap(unparsed_);
+    request_bytes_ = 0;
     is_head_ = false;
-    respond({status, std::move(reason), {}, {}, true});
+    respond(std::move(answer));
+}
+
+void caller_connection::release()
+{
+    if (state_ == state::reading) {
+        reject(server_->options_.make_refusal());
+        return;
+    }
+    runtime::log_event(runtime::event_number::caller_request_rejected,
+                       "the caller does not read its answer");
+    abandon();
 }
 
 std::string caller_connection::serialize(const forward_answer& answer,
@@ -256,6 +329,8 @@
 {
     on_abandoned_ = nullptr;
     state_ = state::writing;
+    request_bytes_ = 0;
+    set_phase(policy::connection_phase::sending);
     closes_after_answer_ = closes_after_answer_ || answer.ends_connection ||
                            server_->is_draining();
     output_ = serialize(answer, !closes_after_answer_);
@@ -301,13 +376,16 @@
         // unread data resets the connection, and the answer may be lost.
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
         state_ = state::lingering;
+        set_phase(policy::connection_phase::closing);
         parser_.reset();
         std::string().swap(unparsed_);
+        server_->limiter_.set_held_bytes(id_, 0);
         arm_timer(limits_.header_timeout);
         read();
         return;
     }
     start_next_request();
+    server_->limiter_.set_held_bytes(id_, held_bytes());
     if (!unparsed_.empty()) {
         parse();
     }
@@ -339,7 +417,7 @@
 void caller_connection::abandon()
 {
     const auto on_abandoned = std::exchange(on_abandoned_, nullptr);
-    if (state_ == state::handling || state_ == state::writing) {
+    if (is_answering()) {
         --server_->in_flight_;
     }
     close();
@@ -357,7 +435,8 @@
     timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
-    server_->connections_.erase(shared_from_this());
+    server_->limiter_.remove(id_);
+    server_->connections_.erase(id_);
 }
 
 } // namespace tamarackhoist::callers
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -18,12 +18,17 @@
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
-    caller_connection(std::shared_ptr<forward_server> server,
+    using connection_id = policy::connection_limiter::connection_id;
+
+    caller_connection(std::shared_ptr<forward_server> server, connection_id id,
                       boost::asio::ip::tcp::socket socket);
 
     void start();
     [[nodiscard]] bool is_idle() const;
     void close();
+    /// Gives up the request that is being read or the answer that the caller
+    /// doesn't read, to make room for others.
+    void release();
 
 private:
     class exchange;
@@ -35,15 +40,24 @@
     enum class state { reading, handling, writing, lingering, closed };
 
     void start_next_request();
+    /// Whether a complete request waits for its answer or for its caller to
+    /// read it.
+    [[nodiscard]] bool is_answering() const;
     void read();
     void handle_read(boost::system::error_code error, std::string_view bytes);
-    /// Drops data that arrives after the last answer, up to the size of a
-    /// request.
-    void discard(std::size_t bytes);
     void parse();
     [[nodiscard]] bool has_unsupported_transfer_coding() const;
     void handle_complete_request();
     void reject(unsigned status, std::string reason);
+    void reject(forward_answer answer);
+    /// Reports the memory that the connection holds. May give up what this
+    /// connection or others hold.
+    void report_held_bytes();
+    /// Drops data that arrives after the last answer, up to the size of a
+    /// request.
+    void discard(std::size_t bytes);
+    [[nodiscard]] std::size_t held_bytes() const;
+    void set_phase(policy::connection_phase phase);
     void respond(forward_answer answer);
     void write();
     void finish_write();
@@ -54,11 +68,15 @@
                                         bool keep_alive) const;
 
     const std::shared_ptr<forward_server> server_;
+    const connection_id id_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     policy::request_limits limits_;
     std::optional<parser_type> parser_;
     std::string unparsed_;
+    /// Memory held by the header fields and the body of the request in service
+    /// or, without the body, of the one that is being read.
+    std::size_t request_bytes_ = 0;
     std::string output_;
     std::size_t written_bytes_ = 0;
     std::size_t discarded_bytes_ = 0;
--- a/packages/callers/src/forward_server.cpp
+++ b/packages/callers/src/forward_server.cpp
@@ -56,7 +56,8 @@
                                handler handle, tcp::acceptor acceptor)
     : context_(context), clock_(std::move(clock)), options_(std::move(options)),
       limits_(std::move(limits)), handle_(std::move(handle)),
-      acceptor_(std::move(acceptor)), accept_retry_timer_(context)
+      acceptor_(std::move(acceptor)), accept_retry_timer_(context),
+      limiter_(options_.limits)
 {
 }
 
@@ -91,23 +92,37 @@
                 });
             return;
         }
-        if (self->connections_.size() < self->options_.max_connections) {
-            const auto connection =
-                std::make_shared<caller_connection>(self, std::move(socket));
-            self->connections_.insert(connection);
-            connection->start();
+        if (self->limiter_.has_room_for_connection()) {
+            self->serve(std::move(socket));
         }
         self->accept();
     });
 }
 
+void forward_server::serve(tcp::socket socket)
+{
+    const auto id = limiter_.add();
+    const auto connection = std::make_shared<caller_connection>(
+        shared_from_this(), id, std::move(socket));
+    connections_.emplace(id, connection);
+    connection->start();
+}
+
+void forward_server::make_room_for_bytes()
+{
+    while (const auto chosen = limiter_.choose_to_release()) {
+        const auto connection = connections_.at(*chosen);
+        connection->release();
+    }
+}
+
 void forward_server::close_idle()
 {
     error_code ignored;
     acceptor_.close(ignored);
-    const std::vector<std::shared_ptr<caller_connection>> connections(
-        connections_.begin(), connections_.end());
-    for (const auto& connection : connections) {
+    // Closing a connection removes it from the map.
+    const auto connections = connections_;
+    for (const auto& [id, connection] : connections) {
         if (connection->is_idle()) {
             connection->close();
         }
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -22,7 +22,8 @@
 public:
     server_fixture()
         : server(callers::forward_server::create(
-                     context, runtime::clock::boot(), {{"127.0.0.1", 0}},
+                     context, runtime::clock::boot(),
+                     {{"127.0.0.1", 0}, crowd_limits},
                      [this] { return limits; },
                      [this](std::shared_ptr<forward_exchange> exchange) {
                          exchanges.push_back(std::move(exchange));
@@ -42,6 +43,31 @@
         caller.non_blocking(true);
     }
 
+    static constexpr policy::connection_limiter::limits crowd_limits = {
+        .max_connections = 4,
+        .max_request_bytes = 20'000,
+        .max_answer_bytes = 20'000};
+
+    /// Returns another connection that has sent `bytes`.
+    asio::ip::tcp::socket connect(const std::string& bytes = {})
+    {
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server->port()});
+        asio::write(socket, asio::buffer(bytes));
+        process_events();
+        return socket;
+    }
+
+    /// Returns what has arrived on `socket`.
+    static std::string read_available(asio::ip::tcp::socket& socket)
+    {
+        std::string text(64 * 1024, '\0');
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        text.resize(socket.read_some(asio::buffer(text), error));
+        return text;
+    }
+
     /// Answers the latest request with its target and body.
     void answer_last()
     {
@@ -151,8 +177,69 @@
     cr_assert(text.find("/b|") != std::string::npos);
 }
 
-/// Guards against request smuggling: if this node and the upstream disagree on
-/// where a request ends, a caller can hide a second request in its body.
+/// The server must not keep the data of a caller that goes on sending after
+/// its request was rejected, nor read it without end.
+void data_after_the_last_answer_is_dropped()
+{
+    server_fixture fixture;
+    fixture.limits.header_timeout = 10s;
+    cr_assert_eq(fixture.send_and_read_status("nonsense\r\n\r\n"), "400");
+    fixture.send(std::string(1000, 'x'));
+    cr_assert_eq(fixture.server->counted_bytes(), 0U);
+    cr_assert_eq(fixture.server->connection_count(), 1U);
+    fixture.send(std::string(2000, 'x'));
+    cr_assert_eq(fixture.server->connection_count(), 0U);
+}
+
+std::string make_partial_post(std::size_t bytes)
+{
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
+           std::string(bytes, 'a');
+}
+
+/// For want of room, the caller that has been sending longest is told to come
+/// back: its request has not run.
+void the_slowest_request_is_refused_for_want_of_room()
+{
+    server_fixture fixture;
+    fixture.limits.max_body_bytes = 100'000;
+    fixture.limits.header_timeout = 10s;
+    fixture.send(make_partial_post(15'000));
+    cr_assert_eq(fixture.read_received(), "");
+    auto second = fixture.connect(make_partial_post(15'000));
+    const auto refusal = fixture.read_received();
+    cr_assert(refusal.starts_with("HTTP/1.1 503"));
+    cr_assert(refusal.find("Retry-After: ") != std::string::npos);
+    cr_assert(refusal.find("Connection: close") != std::string::npos);
+    cr_assert_eq(server_fixture::read_available(second), "");
+    cr_assert(fixture.exchanges.empty());
+    asio::write(second, asio::buffer(std::string(85'000, 'a')));
+    fixture.process_events(100ms);
+    cr_assert_eq(fixture.exchanges.size(), 1U);
+    cr_assert(
+        server_fixture::read_available(second).starts_with("HTTP/1.1 200"));
+}
+
+void a_request_is_refused_while_others_in_service_take_the_room()
+{
+    server_fixture fixture;
+    fixture.answers_immediately = false;
+    fixture.limits.max_body_bytes = 100'000;
+    const auto post =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 15000\r\n\r\n" +
+        std::string(15'000, 'a');
+    fixture.send(post);
+    auto refused = fixture.connect(post);
+    cr_assert(
+        server_fixture::read_available(refused).starts_with("HTTP/1.1 503"));
+    auto small = fixture.connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert_eq(fixture.exchanges.size(), 2U);
+    fixture.answer_last();
+    fixture.process_events();
+    cr_assert(
+        server_fixture::read_available(small).starts_with("HTTP/1.1 200"));
+}
+
 void ambiguous_requests_are_rejected()
 {
     const std::vector<std::string> ambiguous{
@@ -274,6 +361,21 @@
 {
     pipelined_requests_are_answered_in_order();
 }
+Test(forward_server, data_after_answer)
+{
+    data_after_the_last_answer_is_dropped();
+}
+
+Test(forward_server, slowest_request)
+{
+    the_slowest_request_is_refused_for_want_of_room();
+}
+
+Test(forward_server, room_in_service)
+{
+    a_request_is_refused_while_others_in_service_take_the_room();
+}
+
 Test(forward_server, ambiguous)
 {
     ambiguous_requests_are_rejected();
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -22,6 +22,18 @@
 /// Divides the memory of the process into the part that unfinished responses
 /// of upstreams may hold.
 constexpr std::size_t response_memory_divisor = 8;
+/// Divides the memory of the process into the part that callers' requests may
+/// hold together, and the same for answers that they don't read.
+constexpr std::size_t caller_memory_divisor = 8;
+constexpr std::size_t max_caller_connections = 3000;
+
+policy::connection_limiter::limits
+make_caller_limits(const gateway_settings& settings)
+{
+    return {.max_connections = max_caller_connections,
+            .max_request_bytes = settings.memory / caller_memory_divisor,
+            .max_answer_bytes = settings.memory / caller_memory_divisor};
+}
 
 callers::forward_answer make_not_found()
 {
@@ -104,7 +116,13 @@
     BOOST_OUTCOME_TRY(
         callers_,
         callers::forward_server::create(
-            io_context_, clock_, {settings_.callers},
+            io_context_, clock_,
+            {settings_.callers, make_caller_limits(settings_),
+             [] {
+                 auto refusal = make_not_executed_answer();
+                 refusal.ends_connection = true;
+                 return refusal;
+             }},
             [this] {
                 return routes_ ? routes_->limits() : policy::request_limits();
             },
@@ -324,6 +342,10 @@
                  static_cast<double>(health_.lost_domain_count()));
     metrics_.set({"tamarackhoist_requests_in_flight", ""},
                  static_cast<double>(callers_->requests_in_flight()));
+    metrics_.set({"tamarackhoist_caller_connections", ""},
+                 static_cast<double>(callers_->connection_count()));
+    metrics_.set({"tamarackhoist_caller_memory_bytes", ""},
+                 static_cast<double>(callers_->counted_bytes()));
     metrics_.set({"tamarackhoist_store_calls", ""},
                  static_cast<double>(store_sync_->call_count()));
     metrics_.set({"tamarackhoist_log_lines_dropped", ""},
--- a/packages/transport/include/tamarackhoist/transport/http_message.hpp
+++ b/packages/transport/include/tamarackhoist/transport/http_message.hpp
@@ -3,6 +3,8 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+#include <string_view>
 
 /// HTTP/1.1 client and server, shared by the packages that talk to callers,
 /// upstreams, peers, operators and the platform.
@@ -28,6 +30,14 @@
 [[nodiscard]] http_response make_json(boost::beast::http::status status,
                                       std::string body);
 
+/// Returns the memory that parsed header fields take.
+[[nodiscard]] std::size_t
+count_field_bytes(const boost::beast::http::fields& fields);
+
+/// Returns about the memory that the header fields on `lines` take once they
+/// are parsed.
+[[nodiscard]] std::size_t estimate_field_bytes(std::string_view lines);
+
 } // namespace tamarackhoist::transport
 
 #endif
