callers: Bound the answers that callers do not read

Operators saw 40 callers that did not read their answers of 3 MB take 142 MB (48 allowed), for as long as the idle timeout.

Cause: what is left of an answer after the first write was kept for each caller, with no limit on the sum. Change: what is unwritten is reported to the connection_limiter.

--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -352,6 +352,10 @@
         return;
     }
     arm_timer(limits_.idle_timeout);
+    report_held_bytes();
+    if (state_ != state::writing) {
+        return;
+    }
     auto self = shared_from_this();
     asio::async_write(socket_, asio::buffer(output_) + written_bytes_,
                       [self](error_code write_error, std::size_t) {
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -240,6 +240,24 @@
         server_fixture::read_available(small).starts_with("HTTP/1.1 200"));
 }
 
+void an_answer_that_is_not_read_makes_room_for_others()
+{
+    server_fixture fixture;
+    constexpr std::size_t large_answer_bytes = 16 * 1024 * 1024;
+    const auto request_large_answer = [&] {
+        auto caller = fixture.connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        fixture.exchanges.back()->respond(
+            {200, "OK", {}, std::string(large_answer_bytes, 'a')});
+        return caller;
+    };
+    fixture.answers_immediately = false;
+    const auto first = request_large_answer();
+    const auto count = fixture.server->connection_count();
+    const auto second = request_large_answer();
+    cr_assert_eq(fixture.server->connection_count(), count);
+    cr_assert_eq(fixture.server->requests_in_flight(), 1U);
+}
+
 void ambiguous_requests_are_rejected()
 {
     const std::vector<std::string> ambiguous{
@@ -376,6 +394,11 @@
     a_request_is_refused_while_others_in_service_take_the_room();
 }
 
+Test(forward_server, unread_answer)
+{
+    an_answer_that_is_not_read_makes_room_for_others();
+}
+
 Test(forward_server, ambiguous)
 {
     ambiguous_requests_are_rejected();
