callers: Limit the kernel's buffers of a caller's connection

An answer of 1 MB to a caller that reads nothing was taken by the kernel whole (forward_server kernel_buffers, failed before: no request was in flight), so it counted for nobody, though it takes memory of the VM. The same holds for what arrives while the node does not read.

Change: 32 KiB in each direction, inherited from the listening socket. Not shown: the receiving half, which held before at 256 KiB a connection on this machine.

--- a/packages/callers/src/forward_server.cpp
+++ b/packages/callers/src/forward_server.cpp
@@ -17,6 +17,21 @@
 /// file descriptors.
 constexpr runtime::duration accept_retry_delay = std::chrono::milliseconds(50);
 
+/// Bytes that the kernel keeps of a connection in each direction. By default,
+/// it keeps up to some megabytes of an answer that its caller doesn't read.
+constexpr int socket_buffer_bytes = 32 * 1024;
+
+/// Limits the buffers of the sockets that `acceptor` accepts.
+void limit_socket_buffers(tcp::acceptor& acceptor)
+{
+    using asio::socket_base;
+    error_code ignored;
+    acceptor.set_option(socket_base::receive_buffer_size(socket_buffer_bytes),
+                        ignored);
+    acceptor.set_option(socket_base::send_buffer_size(socket_buffer_bytes),
+                        ignored);
+}
+
 } // namespace
 
 runtime::result<std::shared_ptr<forward_server>, std::string>
@@ -36,6 +51,9 @@
     if (!error) {
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     }
+    if (!error) {
+        limit_socket_buffers(acceptor);
+    }
     if (!error) {
         acceptor.bind(local_endpoint, error);
     }
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -2,7 +2,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/sockios.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <tamarackhoist/callers/forward_server.hpp>
 #include <vector>
 
@@ -258,6 +260,31 @@
     cr_assert_eq(fixture.server->requests_in_flight(), 1U);
 }
 
+/// What the kernel keeps of a connection counts for the VM, too: data that the
+/// server doesn't read yet, and answers that the caller doesn't read.
+void the_kernel_keeps_little_of_a_connection()
+{
+    constexpr std::size_t max_kept_bytes = 256 * 1024;
+    server_fixture fixture;
+    fixture.answers_immediately = false;
+    fixture.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string pipelined(4096, 'x');
+    std::size_t sent = 0;
+    boost::system::error_code error;
+    while (!error && sent < 16 * max_kept_bytes) {
+        sent += fixture.caller.write_some(asio::buffer(pipelined), error);
+        fixture.process_events(1ms);
+    }
+    int unacknowledged = 0;
+    ::ioctl(fixture.caller.native_handle(), SIOCOUTQ, &unacknowledged);
+    cr_assert_leq(sent - static_cast<std::size_t>(unacknowledged),
+                  max_kept_bytes);
+    fixture.exchanges.back()->respond(
+        {200, "OK", {}, std::string(4 * max_kept_bytes, 'a')});
+    fixture.process_events();
+    cr_assert_eq(fixture.server->requests_in_flight(), 1U);
+}
+
 void ambiguous_requests_are_rejected()
 {
     const std::vector<std::string> ambiguous{
@@ -399,6 +426,11 @@
     an_answer_that_is_not_read_makes_room_for_others();
 }
 
+Test(forward_server, kernel_buffers)
+{
+    the_kernel_keeps_little_of_a_connection();
+}
+
 Test(forward_server, ambiguous)
 {
     ambiguous_requests_are_rejected();
