callers, node: Bound connections by the node's descriptors and memory

Callers saw no answer at all while others kept connections open without sending a request, with a part of one, or after a rejection: with 256 descriptors and 512 such connections, accepting failed and so did connecting to upstreams.

Cause: 3,000 connections, whatever the process may open, and the newest was the one turned away. Change: callers may have half of the descriptors (max_descriptors of the settings, from the platform's limits.maxFds, or the system's limit if lower), and one connection for each 64 KiB of memory. For a further one, the connection that is closing, has sent nothing or is sending a request longest is closed, then the longest idle; a part of a request gets 503 first.

--- a/packages/callers/include/tamarackhoist/callers/forward_server.hpp
+++ b/packages/callers/include/tamarackhoist/callers/forward_server.hpp
@@ -84,6 +84,9 @@
 
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
+    /// Closes connections until there is room for another. Returns whether
+    /// there is.
+    bool make_room_for_connection();
     /// Gives up requests and answers until the others are within their limits
     /// or in service.
     void make_room_for_bytes();
--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -304,6 +304,14 @@
     abandon();
 }
 
+void caller_connection::disconnect()
+{
+    if (state_ == state::reading && has_partial_request_) {
+        reject(server_->options_.make_refusal());
+    }
+    abandon();
+}
+
 std::string caller_connection::serialize(const forward_answer& answer,
                                          bool keep_alive) const
 {
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -29,6 +29,8 @@
     /// Gives up the request that is being read or the answer that the caller
     /// doesn't read, to make room for others.
     void release();
+    /// Like `release`, and closes the connection.
+    void disconnect();
 
 private:
     class exchange;
--- a/packages/callers/src/forward_server.cpp
+++ b/packages/callers/src/forward_server.cpp
@@ -110,7 +110,7 @@
                 });
             return;
         }
-        if (self->limiter_.has_room_for_connection()) {
+        if (self->make_room_for_connection()) {
             self->serve(std::move(socket));
         }
         self->accept();
@@ -126,6 +126,19 @@
     connection->start();
 }
 
+bool forward_server::make_room_for_connection()
+{
+    while (!limiter_.has_room_for_connection()) {
+        const auto chosen = limiter_.choose_to_disconnect();
+        if (!chosen) {
+            return false;
+        }
+        const auto connection = connections_.at(*chosen);
+        connection->disconnect();
+    }
+    return true;
+}
+
 void forward_server::make_room_for_bytes()
 {
     while (const auto chosen = limiter_.choose_to_release()) {
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -242,6 +242,24 @@
         server_fixture::read_available(small).starts_with("HTTP/1.1 200"));
 }
 
+void a_full_server_closes_the_connection_that_waits_longest()
+{
+    server_fixture fixture;
+    fixture.process_events();
+    fixture.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.read_received().ends_with("/a|"));
+    std::vector<asio::ip::tcp::socket> others;
+    for (std::size_t number = 0;
+         number < 2 * server_fixture::crowd_limits.max_connections; ++number) {
+        others.push_back(fixture.connect());
+    }
+    cr_assert_eq(fixture.server->connection_count(),
+                 server_fixture::crowd_limits.max_connections);
+    // The connection that has served a request is kept.
+    fixture.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(fixture.read_received().ends_with("/b|"));
+}
+
 void an_answer_that_is_not_read_makes_room_for_others()
 {
     server_fixture fixture;
@@ -421,6 +439,11 @@
     a_request_is_refused_while_others_in_service_take_the_room();
 }
 
+Test(forward_server, full)
+{
+    a_full_server_closes_the_connection_that_waits_longest();
+}
+
 Test(forward_server, unread_answer)
 {
     an_answer_that_is_not_read_makes_room_for_others();
--- a/packages/node/include/tamarackhoist/node/gateway_settings.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway_settings.hpp
@@ -35,6 +35,8 @@
     double cores = 1.0;
     /// Memory that this process may use, in bytes.
     std::size_t memory = std::size_t(256) * 1024 * 1024;
+    /// File descriptors that this process may use.
+    std::size_t max_descriptors = 4096;
     /// Number of nodes that may join the fleet at any time. Their share of
     /// each upstream's connections is reserved in advance.
     std::uint32_t spare_nodes = 4;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -25,12 +25,19 @@
 /// Divides the memory of the process into the part that callers' requests may
 /// hold together, and the same for answers that they don't read.
 constexpr std::size_t caller_memory_divisor = 8;
-constexpr std::size_t max_caller_connections = 3000;
+/// Memory of the process for each connection of a caller.
+constexpr std::size_t memory_per_caller = 64 * 1024;
+/// Divides the descriptors of the process into the part that connections of
+/// callers may take. The rest is for upstreams, other nodes, operators and
+/// files.
+constexpr std::size_t caller_descriptor_divisor = 2;
 
 policy::connection_limiter::limits
 make_caller_limits(const gateway_settings& settings)
 {
-    return {.max_connections = max_caller_connections,
+    return {.max_connections =
+                std::min(settings.max_descriptors / caller_descriptor_divisor,
+                         settings.memory / memory_per_caller),
             .max_request_bytes = settings.memory / caller_memory_divisor,
             .max_answer_bytes = settings.memory / caller_memory_divisor};
 }
--- a/packages/node/src/gateway_settings.cpp
+++ b/packages/node/src/gateway_settings.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t min_memory_mb = 32;
 constexpr std::uint64_t max_memory_mb = 1024 * 1024;
 constexpr std::uint64_t default_memory_mb = 256;
+constexpr std::uint64_t min_descriptors = 64;
+constexpr std::uint64_t max_descriptors = 1'000'000;
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 constexpr std::uint64_t max_allowance = 1'000'000;
 
@@ -28,6 +30,9 @@
     settings.memory =
         bytes_per_mb * reader.optional_number("memory_mb", min_memory_mb,
                                               max_memory_mb, default_memory_mb);
+    settings.max_descriptors =
+        reader.optional_number("max_descriptors", min_descriptors,
+                               max_descriptors, settings.max_descriptors);
     settings.shutdown_grace = reader.required_duration("shutdown_grace");
 }
 
--- a/packages/programs/src/tamarackhoistd.cpp
+++ b/packages/programs/src/tamarackhoistd.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -8,6 +9,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <sys/resource.h>
 #include <tamarackhoist/adapter/store_client.hpp>
 #include <tamarackhoist/adapter/store_codec.hpp>
 #include <tamarackhoist/adapter/wire_names.hpp>
@@ -120,9 +122,20 @@
         });
 }
 
+/// Returns `count`, lowered to the limit that the system sets.
+std::size_t limit_descriptors(std::size_t count)
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return count;
+    }
+    return std::min<std::size_t>(count, limit.rlim_cur);
+}
+
 int run_gateway(node::gateway_settings settings)
 {
     namespace adapter = tamarackhoist::adapter;
+    settings.max_descriptors = limit_descriptors(settings.max_descriptors);
     return serve<node::gateway>(
         node::gateway::create(
             std::move(settings), runtime::clock::boot(),
