callers: Answer pipelined requests one after the other

Operators saw 20 callers with pipelined requests take 53 MB (48 allowed), and 900 that pipelined behind a request in service 90 MB.

Cause: each answer that needed no wait parsed and answered the next request from within itself, a stack frame for each of up to 4,500; and 80 KiB of pipelined data were kept for each connection. Ruled out: the answers, as most were written. Change: the next request is parsed once the current call has returned; 4 KiB, the part that is not counted, are read ahead.

--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -19,7 +19,8 @@
 
 /// Limit of the data buffered for later requests while one is answered; reading
 /// pauses at it.
-constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+constexpr std::size_t max_pipelined_bytes =
+    policy::connection_limiter::uncounted_bytes;
 
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_timeout = 408;
@@ -91,7 +92,8 @@
 
 bool caller_connection::is_idle() const
 {
-    return state_ == state::reading && !has_partial_request_;
+    return state_ == state::reading && !has_partial_request_ &&
+           unparsed_.empty();
 }
 
 void caller_connection::start_next_request()
@@ -124,13 +126,16 @@
     }
     is_read_pending_ = true;
     auto self = shared_from_this();
-    transport::read_available(socket_,
-                              [self](error_code error, std::string_view bytes) {
-                                  self->is_read_pending_ = false;
-                                  if (self->state_ != state::closed) {
-                                      self->handle_read(error, bytes);
-                                  }
-                              });
+    transport::read_available(
+        socket_,
+        [self](error_code error, std::string_view bytes) {
+            self->is_read_pending_ = false;
+            if (self->state_ != state::closed) {
+                self->handle_read(error, bytes);
+            }
+        },
+        is_answering() ? max_pipelined_bytes - unparsed_.size()
+                       : transport::max_read_bytes);
 }
 
 void caller_connection::handle_read(error_code error, std::string_view bytes)
@@ -399,11 +404,24 @@
     start_next_request();
     server_->limiter_.set_held_bytes(id_, held_bytes());
     if (!unparsed_.empty()) {
-        parse();
+        parse_later();
     }
     read();
 }
 
+void caller_connection::parse_later()
+{
+    // A loop of parsing and answering many pipelined requests would fill the
+    // stack and keep other connections waiting.
+    auto self = shared_from_this();
+    asio::post(socket_.get_executor(), [self] {
+        if (self->state_ == state::reading) {
+            self->parse();
+            self->report_held_bytes();
+        }
+    });
+}
+
 void caller_connection::arm_timer(runtime::duration delay)
 {
     auto self = shared_from_this();
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -48,6 +48,8 @@
     void read();
     void handle_read(boost::system::error_code error, std::string_view bytes);
     void parse();
+    /// Parses the pipelined requests once the current call has returned.
+    void parse_later();
     [[nodiscard]] bool has_unsupported_transfer_coding() const;
     void handle_complete_request();
     void reject(unsigned status, std::string reason);
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -179,6 +179,22 @@
     cr_assert(text.find("/b|") != std::string::npos);
 }
 
+/// Guards against request smuggling: if this node and the upstream disagree on
+/// where a request ends, a caller can hide a second request in its body.
+/// Answering one pipelined request from within the answer to the one before
+/// would take a stack frame for each.
+void pipelined_requests_are_answered_one_at_a_time()
+{
+    server_fixture fixture;
+    fixture.answers_immediately = false;
+    fixture.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+                 "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.answer_last();
+    cr_assert_eq(fixture.exchanges.size(), 1U);
+    fixture.process_events();
+    cr_assert_eq(fixture.exchanges.size(), 2U);
+}
+
 /// The server must not keep the data of a caller that goes on sending after
 /// its request was rejected, nor read it without end.
 void data_after_the_last_answer_is_dropped()
@@ -424,6 +440,11 @@
 {
     pipelined_requests_are_answered_in_order();
 }
+Test(forward_server, pipelining_depth)
+{
+    pipelined_requests_are_answered_one_at_a_time();
+}
+
 Test(forward_server, data_after_answer)
 {
     data_after_the_last_answer_is_dropped();
