node: Refuse fan-outs beyond what the node can hold in progress

Callers saw 502 for an ordinary request beside 900 small fan-outs to 60 shards that waited for their upstreams; 300 with a body took 402 MB (48 allowed).

Cause: a fan-out holds state for each shard, some 0.75 KB (45 MB of memory with 767 in progress), and copies of its request in calls to relays; the number in progress was bounded by connections alone. At 2,050 connections and 90 shards that is 140 MB of 160. Change: an estimate by shards and size counts as held by the request; without room it is refused at once with 503 and Retry-After, before anything is sent.

--- a/packages/callers/include/tamarackhoist/callers/forward_exchange.hpp
+++ b/packages/callers/include/tamarackhoist/callers/forward_exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef TAMARACKHOIST_CALLERS_FORWARD_EXCHANGE_HPP
 #define TAMARACKHOIST_CALLERS_FORWARD_EXCHANGE_HPP
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -48,6 +49,11 @@
     /// Whether this is the first request on the caller's connection.
     [[nodiscard]] virtual bool is_first_on_connection() const = 0;
 
+    /// Counts memory that the node holds for the request until it is answered,
+    /// besides the request itself. Returns false if there is no room for it.
+    /// The request is then to be refused.
+    [[nodiscard]] virtual bool try_hold(std::size_t bytes) = 0;
+
     /// Sends the answer. Only the first call has an effect, and none once the
     /// caller has disconnected.
     virtual void respond(forward_answer answer) = 0;
--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -48,6 +48,11 @@
 
     bool is_first_on_connection() const override { return serial_ == 1; }
 
+    bool try_hold(std::size_t bytes) override
+    {
+        return !is_open() || connection_->try_hold(bytes);
+    }
+
     void respond(forward_answer answer) override
     {
         if (is_open()) {
@@ -184,6 +189,13 @@
     server_->make_room_for_bytes();
 }
 
+bool caller_connection::try_hold(std::size_t bytes)
+{
+    request_bytes_ += bytes;
+    report_held_bytes();
+    return server_->limiter_.has_room_for_bytes(id_);
+}
+
 void caller_connection::set_phase(policy::connection_phase phase)
 {
     server_->limiter_.set_phase(id_, phase);
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -57,6 +57,7 @@
     /// Reports the memory that the connection holds. May give up what this
     /// connection or others hold.
     void report_held_bytes();
+    [[nodiscard]] bool try_hold(std::size_t bytes);
     /// Drops data that arrives after the last answer, up to the size of a
     /// request.
     void discard(std::size_t bytes);
--- a/packages/callers/tests/forward_server_test.cpp
+++ b/packages/callers/tests/forward_server_test.cpp
@@ -252,6 +252,8 @@
         server_fixture::read_available(refused).starts_with("HTTP/1.1 503"));
     auto small = fixture.connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     cr_assert_eq(fixture.exchanges.size(), 2U);
+    cr_assert_not(fixture.exchanges.back()->try_hold(30'000));
+    cr_assert(fixture.exchanges.front()->try_hold(0) == false);
     fixture.answer_last();
     fixture.process_events();
     cr_assert(
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <random>
+#include <tamarackhoist/policy/forward_memory.hpp>
 #include <tamarackhoist/policy/identifier.hpp>
 #include <tamarackhoist/runtime/log_line.hpp>
 
@@ -273,6 +274,12 @@
         refuse(*exchange, "too few shards are reachable");
         return;
     }
+    if (route != nullptr && !exchange->try_hold(policy::estimate_forward_memory(
+                                *route, transport::count_field_bytes(request) +
+                                            request.body().size()))) {
+        refuse(*exchange, "too many requests are in progress");
+        return;
+    }
     if (route != nullptr) {
         forward(forwarding_, routes_, *route, std::move(exchange));
         return;
--- a/packages/policy/tests/connection_limiter_test.cpp
+++ b/packages/policy/tests/connection_limiter_test.cpp
@@ -1,4 +1,5 @@
 #include <tamarackhoist/policy/connection_limiter.hpp>
+#include <tamarackhoist/policy/forward_memory.hpp>
 
 #include <criterion/criterion.h>
 
@@ -119,6 +120,17 @@
     cr_assert_eq(limiter.choose_to_disconnect().value(), second);
 }
 
+void fan_outs_are_estimated_by_their_shards()
+{
+    policy::route route;
+    cr_assert_eq(policy::estimate_forward_memory(route, 5000), 0U);
+    route.shards = {"a", "b", "c"};
+    const auto without_body = policy::estimate_forward_memory(route, 0);
+    cr_assert_eq(without_body, 3 * policy::bytes_per_shard);
+    cr_assert_geq(policy::estimate_forward_memory(route, 5000),
+                  without_body + 5000);
+}
+
 } // namespace
 
 Test(connection_limiter, small_requests)
@@ -155,3 +167,8 @@
 {
     the_longest_idle_connection_is_closed_first();
 }
+
+Test(forward_memory, fan_outs)
+{
+    fan_outs_are_estimated_by_their_shards();
+}
