node: Bound what calls to a relay hold together

Fan-outs of callers at many nodes meet at the relays of a failure domain. Each call keeps its request twice until it ends, and nothing bound their sum: found by reading, on the path of the fault before.

Change: an eighth of the node's memory. A call beyond it is answered at once, as not sent, which is true; the calling node goes on as it does for any upstream that was not reached. One that is alone is handled whatever its size.

--- a/packages/node/include/tamarackhoist/node/relay_server.hpp
+++ b/packages/node/include/tamarackhoist/node/relay_server.hpp
@@ -1,6 +1,7 @@
 #ifndef TAMARACKHOIST_NODE_RELAY_SERVER_HPP
 #define TAMARACKHOIST_NODE_RELAY_SERVER_HPP
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <tamarackhoist/node/forwarding.hpp>
@@ -19,7 +20,9 @@
 class relay_server
 {
 public:
-    explicit relay_server(std::shared_ptr<forwarding> shared);
+    /// `max_bytes` limits the memory that open calls hold together. A call
+    /// that is alone is always handled.
+    relay_server(std::shared_ptr<forwarding> shared, std::size_t max_bytes);
     ~relay_server();
     relay_server(const relay_server&) = delete;
     relay_server& operator=(const relay_server&) = delete;
@@ -33,9 +36,21 @@
 private:
     /// Incarnation of the calling node, and its number of the call.
     using call_key = std::pair<std::uint64_t, std::uint64_t>;
+    struct open_call {
+        std::shared_ptr<relayed_call> call;
+        std::size_t bytes = 0;
+    };
+
+    void end_call(call_key key);
+    /// Replies that none of the request's attempts was sent.
+    static void refuse(const peers::incoming_call& call,
+                       const peers::relay_request& request);
 
     const std::shared_ptr<forwarding> shared_;
-    std::map<call_key, std::shared_ptr<relayed_call>> calls_;
+    const std::size_t max_bytes_;
+    /// Estimated memory of all open calls.
+    std::size_t held_bytes_ = 0;
+    std::map<call_key, open_call> calls_;
 };
 
 } // namespace tamarackhoist::node
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -26,6 +26,9 @@
 /// Divides the memory of the process into the part that callers' requests may
 /// hold together, and the same for answers that they don't read.
 constexpr std::size_t caller_memory_divisor = 8;
+/// Divides the memory of the process into the part that calls of other nodes
+/// to this node as a relay may hold together.
+constexpr std::size_t relay_memory_divisor = 8;
 /// Memory of the process for each connection of a caller.
 constexpr std::size_t memory_per_caller = 64 * 1024;
 /// Divides the descriptors of the process into the part that connections of
@@ -108,7 +111,7 @@
         settings_.caller_delay, context_, directory_, health_.reach(), metrics_,
         [this](const std::string& upstream) { return pools_.find(upstream); },
         &relay_client_});
-    relay_server_.emplace(forwarding_);
+    relay_server_.emplace(forwarding_, settings_.memory / relay_memory_divisor);
     store_sync_.emplace(
         io_context_, clock_,
         platform_adapter.make_store(io_context_, settings_.store),
