transport, node: Keep the readiness and metrics ports open beside crowds

With 256 descriptors, 512 idle connections to the readiness or the metrics port took all of them: neither that port nor callers got an answer.

Cause: limits of 4,096 connections and 1 MiB bodies for each port; the newest connection was turned away. Change: 32 connections, heads of 8 KiB, no body. A full server closes the connection whose client has kept it waiting longest, here and wherever else http_server is used.

--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -36,6 +36,14 @@
 /// files.
 constexpr std::size_t caller_descriptor_divisor = 2;
 
+/// Limits of the servers for readiness checks and metrics, whose requests are
+/// few and have no body.
+constexpr transport::http_server_limits operator_limits = {
+    .max_header_bytes = 8 * 1024,
+    .max_body_bytes = 0,
+    .max_connections = 32,
+    .read_timeout = std::chrono::seconds(10)};
+
 policy::connection_limiter::limits
 make_caller_limits(const gateway_settings& settings)
 {
@@ -149,12 +157,14 @@
                                const transport::http_server::respond& respond) {
         answer_operator(request, respond);
     };
-    BOOST_OUTCOME_TRY(readiness_, transport::http_server::create(
-                                      io_context_.get_executor(),
-                                      settings_.readiness, {}, answer));
-    BOOST_OUTCOME_TRY(metrics_server_, transport::http_server::create(
-                                           io_context_.get_executor(),
-                                           settings_.metrics, {}, answer));
+    BOOST_OUTCOME_TRY(readiness_,
+                      transport::http_server::create(io_context_.get_executor(),
+                                                     settings_.readiness,
+                                                     operator_limits, answer));
+    BOOST_OUTCOME_TRY(metrics_server_,
+                      transport::http_server::create(io_context_.get_executor(),
+                                                     settings_.metrics,
+                                                     operator_limits, answer));
     return boost::outcome_v2::success();
 }
 
--- a/packages/transport/include/tamarackhoist/transport/http_server.hpp
+++ b/packages/transport/include/tamarackhoist/transport/http_server.hpp
@@ -5,9 +5,13 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <tamarackhoist/runtime/result.hpp>
 #include <tamarackhoist/runtime/time.hpp>
@@ -21,7 +25,8 @@
 struct http_server_limits {
     std::size_t max_header_bytes = 16 * 1024;
     std::size_t max_body_bytes = 1024 * 1024;
-    /// Further connections are closed as soon as they are accepted.
+    /// For a further connection, the one is closed whose client has kept the
+    /// server waiting longest; without such a client, the new one is closed.
     std::size_t max_connections = 4096;
     /// Time limit for receiving a whole request or sending a whole response.
     /// Also the time after which an idle connection is closed.
@@ -62,6 +67,8 @@
     [[nodiscard]] std::uint16_t port() const;
 
 private:
+    using stream_type = boost::beast::tcp_stream;
+
     http_server(boost::asio::any_io_executor executor,
                 boost::asio::ip::tcp::acceptor acceptor,
                 http_server_limits limits, handler handle);
@@ -71,6 +78,12 @@
     serve_connection(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<http_response>
     handle_request(const http_request& request);
+    /// Whether a connection can be accepted, if need be in place of another.
+    bool make_room();
+    /// Notes that the server waits for the client of `stream`. Returns the
+    /// position of the client among those that it waits for.
+    std::uint64_t start_wait(const std::shared_ptr<stream_type>& stream);
+    void end_wait(std::uint64_t position);
 
     boost::asio::any_io_executor executor_;
     boost::asio::ip::tcp::acceptor acceptor_;
@@ -79,6 +92,11 @@
     std::atomic<bool> is_stopping_{false};
     std::atomic<std::size_t> in_flight_{0};
     std::atomic<std::size_t> connections_{0};
+    std::mutex waits_mutex_;
+    /// Connections whose clients the server waits for, in the order in which
+    /// the waits began.
+    std::map<std::uint64_t, std::shared_ptr<stream_type>> waits_;
+    std::uint64_t next_wait_ = 0;
 };
 
 } // namespace tamarackhoist::transport
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -125,9 +124,10 @@
             co_await timer.async_wait(use_tuple);
             continue;
         }
-        if (connections_ >= limits_.max_connections) {
+        if (!make_room()) {
             continue;
         }
+        ++connections_;
         auto strand = socket.get_executor();
         auto self = shared_from_this();
         asio::co_spawn(
@@ -142,10 +142,9 @@
 asio::awaitable<void> http_server::serve_connection(tcp::socket socket)
 {
     const auto self = shared_from_this();
-    ++connections_;
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    beast::tcp_stream stream(std::move(socket));
+    const auto stream = std::make_shared<stream_type>(std::move(socket));
     // Bounds the parts of a request that the parser takes only whole, such as
     // a chunk header.
     beast::flat_buffer buffer(limits_.max_header_bytes + read_ahead_bytes);
@@ -155,9 +154,11 @@
         parser.header_limit(
             static_cast<std::uint32_t>(limits_.max_header_bytes));
         parser.body_limit(limits_.max_body_bytes);
-        stream.expires_after(limits_.read_timeout);
+        stream->expires_after(limits_.read_timeout);
+        const auto read_wait = start_wait(stream);
         auto [error, size] =
-            co_await http::async_read(stream, buffer, parser, use_tuple);
+            co_await http::async_read(*stream, buffer, parser, use_tuple);
+        end_wait(read_wait);
         if (error) {
             const auto status = rejection_status(error);
             if (!status) {
@@ -168,28 +169,64 @@
                                        error.message() + "\"}");
             rejection.keep_alive(false);
             rejection.prepare_payload();
-            co_await http::async_write(stream, rejection, use_tuple);
+            co_await http::async_write(*stream, rejection, use_tuple);
             break;
         }
         const auto request = parser.release();
-        stream.expires_never();
+        stream->expires_never();
         ++in_flight_;
         auto response = co_await handle_request(request);
         is_open = request.keep_alive() && !is_stopping_;
         response.keep_alive(is_open);
         response.prepare_payload();
-        stream.expires_after(limits_.read_timeout);
+        stream->expires_after(limits_.read_timeout);
+        const auto write_wait = start_wait(stream);
         auto [write_error, written] =
-            co_await http::async_write(stream, response, use_tuple);
+            co_await http::async_write(*stream, response, use_tuple);
+        end_wait(write_wait);
         --in_flight_;
         if (write_error) {
             break;
         }
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
     --connections_;
 }
 
+bool http_server::make_room()
+{
+    if (connections_ < limits_.max_connections) {
+        return true;
+    }
+    std::shared_ptr<stream_type> longest_waiting;
+    {
+        const std::lock_guard guard(waits_mutex_);
+        if (waits_.empty()) {
+            return false;
+        }
+        longest_waiting = waits_.begin()->second;
+        waits_.erase(waits_.begin());
+    }
+    asio::post(longest_waiting->get_executor(),
+               [longest_waiting] { longest_waiting->close(); });
+    return true;
+}
+
+std::uint64_t
+http_server::start_wait(const std::shared_ptr<stream_type>& stream)
+{
+    const std::lock_guard guard(waits_mutex_);
+    const auto position = next_wait_++;
+    waits_.emplace(position, stream);
+    return position;
+}
+
+void http_server::end_wait(std::uint64_t position)
+{
+    const std::lock_guard guard(waits_mutex_);
+    waits_.erase(position);
+}
+
 asio::awaitable<http_response>
 http_server::handle_request(const http_request& request)
 {
--- a/packages/transport/tests/http_server_test.cpp
+++ b/packages/transport/tests/http_server_test.cpp
@@ -7,6 +7,7 @@
 #include <tamarackhoist/transport/http_connection.hpp>
 #include <tamarackhoist/transport/http_server.hpp>
 #include <thread>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -27,6 +28,7 @@
         transport::http_server_limits limits;
         limits.max_body_bytes = 1000;
         limits.max_header_bytes = 1000;
+        limits.max_connections = max_connections;
         server_ = http_server::create(
                       context_.get_executor(), {"127.0.0.1", 0}, limits,
                       [this](const transport::http_request& request,
@@ -42,6 +44,18 @@
 
     ~server_fixture() { context_.stop(); }
 
+    static constexpr std::size_t max_connections = 4;
+
+    /// Returns a new connection that has sent `bytes`.
+    asio::ip::tcp::socket connect(asio::io_context& client,
+                                  const std::string& bytes)
+    {
+        asio::ip::tcp::socket socket(client);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server_->port()});
+        asio::write(socket, asio::buffer(bytes));
+        return socket;
+    }
+
     /// Sends raw bytes, shuts down the sending side and returns all bytes that
     /// the server sends.
     std::string exchange(const std::string& bytes)
@@ -130,6 +144,26 @@
     }
 }
 
+/// Clients that send nothing, or a part of a request, would otherwise keep
+/// others out for as long as they like.
+void a_full_server_closes_the_connection_that_waits_longest()
+{
+    server_fixture fixture;
+    asio::io_context client;
+    std::vector<asio::ip::tcp::socket> waiting;
+    for (std::size_t number = 0; number < 3 * server_fixture::max_connections;
+         ++number) {
+        waiting.push_back(
+            fixture.connect(client, number % 2 == 0 ? "" : "POST / HT"));
+    }
+    const auto response = fixture.exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert(response.starts_with("HTTP/1.1 200"));
+    std::array<char, 1> byte{};
+    boost::system::error_code error;
+    waiting.front().read_some(asio::buffer(byte), error);
+    cr_assert(error);
+}
+
 void a_refused_connection_is_reported_as_not_sent()
 {
     asio::io_context context;
@@ -158,6 +192,11 @@
 {
     oversized_and_malformed_requests_are_rejected();
 }
+Test(http_server, full)
+{
+    a_full_server_closes_the_connection_that_waits_longest();
+}
+
 Test(http_connection, refused)
 {
     a_refused_connection_is_reported_as_not_sent();
