callers: Say in the log why a request was refused

A request that is given up for want of room was logged as "Service Unavailable", which tells an engineer on call nothing. The line now says that there was no room beside the requests of others; rejections for other causes read as before. Two comments say what a newcomer would ask.

--- a/packages/callers/src/caller_connection.cpp
+++ b/packages/callers/src/caller_connection.cpp
@@ -273,7 +273,7 @@
     set_phase(policy::connection_phase::serving);
     report_held_bytes();
     if (!server_->limiter_.has_room_for_bytes(id_)) {
-        reject(server_->options_.make_refusal());
+        refuse_for_want_of_room();
         return;
     }
     auto request = parser_->release();
@@ -291,13 +291,19 @@
 
 void caller_connection::reject(unsigned status, std::string reason)
 {
+    runtime::log_event(runtime::event_number::caller_request_rejected, reason);
     reject({status, std::move(reason), {}, {}, true});
 }
 
-void caller_connection::reject(forward_answer answer)
+void caller_connection::refuse_for_want_of_room()
 {
     runtime::log_event(runtime::event_number::caller_request_rejected,
-                       answer.reason);
+                       "no room for the request beside those of others");
+    reject(server_->options_.make_refusal());
+}
+
+void caller_connection::reject(forward_answer answer)
+{
     timer_.cancel();
     state_ = state::handling;
     ++server_->in_flight_;
@@ -313,7 +319,7 @@
 void caller_connection::release()
 {
     if (state_ == state::reading) {
-        reject(server_->options_.make_refusal());
+        refuse_for_want_of_room();
         return;
     }
     runtime::log_event(runtime::event_number::caller_request_rejected,
@@ -324,7 +330,7 @@
 void caller_connection::disconnect()
 {
     if (state_ == state::reading && has_partial_request_) {
-        reject(server_->options_.make_refusal());
+        refuse_for_want_of_room();
     }
     abandon();
 }
@@ -423,8 +429,8 @@
 
 void caller_connection::parse_later()
 {
-    // A loop of parsing and answering many pipelined requests would fill the
-    // stack and keep other connections waiting.
+    // Answering each pipelined request from within the answer to the one before
+    // would fill the stack and keep other connections waiting.
     auto self = shared_from_this();
     asio::post(socket_.get_executor(), [self] {
         if (self->state_ == state::reading) {
--- a/packages/callers/src/caller_connection.hpp
+++ b/packages/callers/src/caller_connection.hpp
@@ -54,6 +54,9 @@
     void handle_complete_request();
     void reject(unsigned status, std::string reason);
     void reject(forward_answer answer);
+    /// Answers the request that is being read with a promise that it has not
+    /// run.
+    void refuse_for_want_of_room();
     /// Reports the memory that the connection holds. May give up what this
     /// connection or others hold.
     void report_held_bytes();
--- a/packages/node/src/relay_server.cpp
+++ b/packages/node/src/relay_server.cpp
@@ -45,6 +45,7 @@
     const call_key key{request->sender, request->call};
     const auto running = std::make_shared<relayed_call>(
         shared_, call, std::move(*request), [this, key] { end_call(key); });
+    // A call with the number of an earlier one replaces it.
     end_call(key);
     calls_[key] = {running, bytes};
     held_bytes_ += bytes;
