build: Declare clang, which builds the fuzz targets

The fuzz preset names it, but only clang-14's programs come with clang-tidy; that clang++ had been on other machines hid the missing declaration. The package's install is part of `make install`, as that of the others.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The two commands of the README are `make demo` and `make test`.
 BUILD ?= build/release
-PACKAGES = g++ cmake ninja-build clang-format clang-tidy curl bc \
+PACKAGES = g++ cmake ninja-build clang clang-format clang-tidy curl bc \
     libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev \
     libnghttp2-dev libgflags-dev liblog4cxx-dev libcriterion-dev \
     librapidcheck-dev libprotobuf-dev protobuf-compiler libxxhash-dev \
