platform: Confirm what is held only by a whole list or a watch

A reader whose lists fail after the first page would answer 404 for added routes, and its pushes would keep its peers from reading the store themselves, for as long as that lasts.

Change: a list confirms when it is whole, as of its first page; a watch when its changes are in.

--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -174,6 +174,8 @@
     /// Position of the first page of a listing. Later pages may be newer, so
     /// the watch starts from this position to miss no change.
     std::optional<policy::store_position> list_position_;
+    /// Time of the first page of a listing.
+    runtime::time_point list_started_at_{};
     /// Position up to which all changes are known; empty when a listing is
     /// needed.
     std::optional<policy::store_position> position_;
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -177,6 +177,7 @@
 {
     if (!list_position_) {
         list_position_ = {*era_, batch.store_revision};
+        list_started_at_ = clock_.now();
     }
     for (auto& item : batch.items) {
         listed_bytes_ += item.key.size() + item.value.size();
@@ -187,6 +188,9 @@
 void news_follower::finish_list()
 {
     position_ = list_position_;
+    // Nothing is confirmed before the list is whole, and then only as of its
+    // first page.
+    confirmed_at_ = list_started_at_;
     const auto items = std::exchange(listed_items_, {});
     observer_.listed(items, *position_);
     if (is_following_) {
@@ -219,6 +223,7 @@
         }
         return;
     }
+    confirmed_at_ = clock_.now();
     const auto& batch = result.value();
     position_ = std::max(*position_, {*era_, batch.store_revision});
     observer_.changed(batch.items, *position_);
@@ -234,7 +239,6 @@
 
 void news_follower::record_response()
 {
-    confirmed_at_ = clock_.now();
     if (consecutive_failures_ > 0) {
         consecutive_failures_ = 0;
         observer_.regained();
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -363,6 +363,26 @@
     cr_assert_eq(fixture.calls.back(), "watch 6");
 }
 
+/// Guards against a node that vouches for outdated items while it lists them
+/// anew, and keeps its peers from asking the store themselves: the store says
+/// that its history is lost, and fails after each first page.
+void an_unfinished_list_confirms_nothing()
+{
+    follower_fixture fixture;
+    fixture.run({make_answer(1, 7)});
+    const auto confirmed_at = fixture.follower->confirmed_at();
+    cr_assert(confirmed_at.has_value());
+    fixture.answer_pending(store_error::history_lost);
+    for (int round = 0; round < 3; ++round) {
+        fixture.answer_pending(make_answer(1, 9, "servers/a"));
+        fixture.answer_pending(store_error::unavailable);
+    }
+    cr_assert(fixture.follower->confirmed_at() == confirmed_at);
+    fixture.answer_pending(make_answer(1, 9, "servers/a"));
+    fixture.answer_pending(make_answer(1, 10));
+    cr_assert(fixture.follower->confirmed_at() > confirmed_at);
+}
+
 void the_revision_never_decreases()
 {
     follower_fixture fixture;
@@ -445,6 +465,10 @@
 {
     a_new_era_between_pages_restarts_the_listing();
 }
+Test(news_follower, unfinished_list)
+{
+    an_unfinished_list_confirms_nothing();
+}
 Test(news_follower, several_eras)
 {
     several_new_eras_cause_one_listing_each();
