policy: Believe a restored store on a drain once it is written again

Change: one rule for upstreams that drained and those that were gone: if the first list of an era says that they are ready, they stay out of use until they are written again, or have stayed listed for 5 s, in which the store removes whoever is not renewed. What an upstream says in its answers holds as before.

--- a/packages/peers/src/store_update_codec.cpp
+++ b/packages/peers/src/store_update_codec.cpp
@@ -69,7 +69,6 @@
         added->set_id(upstream.id);
         added->set_started_at(upstream.started_at);
         added->set_is_leaving(upstream.is_leaving);
-        added->set_is_gone(upstream.is_gone);
     }
     return encoded.SerializeAsString();
 }
@@ -98,7 +97,7 @@
     for (auto& upstream : *encoded.mutable_withdrawn()) {
         update.withdrawn.push_back({std::move(*upstream.mutable_id()),
                                     upstream.started_at(),
-                                    upstream.is_leaving(), upstream.is_gone()});
+                                    upstream.is_leaving()});
     }
     return update;
 }
--- a/packages/policy/include/tamarackhoist/policy/departed_upstreams.hpp
+++ b/packages/policy/include/tamarackhoist/policy/departed_upstreams.hpp
@@ -18,10 +18,8 @@
     std::string id;
     /// `registered_upstream::started_at`.
     std::uint64_t started_at = 0;
-    /// Whether it has said that it drains or leaves.
+    /// Whether it has said in an answer that it leaves.
     bool is_leaving = false;
-    /// Whether its registration was removed or replaced.
-    bool is_gone = false;
 
     bool operator==(const withdrawn_upstream&) const = default;
 };
@@ -36,7 +34,7 @@
     static constexpr runtime::duration retention = std::chrono::seconds(60);
 
     /// Records that an incarnation is gone. `is_leaving` states whether it had
-    /// said that it drains or leaves.
+    /// said in an answer that it leaves.
     void record(const std::string& id, std::uint64_t started_at,
                 bool is_leaving, runtime::time_point now);
 
@@ -46,8 +44,8 @@
     /// Returns whether the incarnation of `entry` is gone.
     [[nodiscard]] bool contains(const registered_upstream& entry) const;
 
-    /// Returns whether the incarnation of `entry` is gone and had said before
-    /// that it drains or leaves.
+    /// Returns whether the incarnation of `entry` is gone and had said in an
+    /// answer that it leaves.
     [[nodiscard]] bool has_left(const registered_upstream& entry) const;
 
     /// Returns all departures, to tell other nodes.
--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -30,9 +30,8 @@
     /// Set when the registration was removed or replaced; no new attempts are
     /// made.
     bool is_gone = false;
-    /// Set when this incarnation has said that it leaves, in an answer or in a
-    /// registration that the store has lost. Its registration may not say so
-    /// yet, or never.
+    /// Set when this incarnation has said in an answer that it leaves. Its
+    /// registration may not say so yet, or never.
     bool is_leaving = false;
     /// Pause that this incarnation has asked for in an answer.
     upstream_pause pause;
@@ -65,8 +64,9 @@
 /// therefore kept for a grace period after the store has recovered.
 ///
 /// A store that is restored from a copy has lost what was written since. Live
-/// upstreams register again within the grace period. Upstreams that the copy
-/// lists although they drained, left or were gone don't return.
+/// upstreams register again within the grace period. Upstreams that drained or
+/// were gone, and that the copy lists as ready, stay out of use until they are
+/// written again.
 class upstream_directory
 {
 public:
@@ -74,9 +74,9 @@
     /// renew their lapsed registrations.
     static constexpr runtime::duration lapsed_registration_grace =
         std::chrono::milliseconds(2200);
-    /// Time after which a departed upstream that a restored store lists counts
-    /// as alive. The store removes registrations that are not renewed for 3.6
-    /// s.
+    /// Time after which a withdrawn upstream that a restored store lists as
+    /// ready counts as such. The store removes registrations that are not
+    /// renewed for 3.6 s.
     static constexpr runtime::duration confirmation_time =
         std::chrono::milliseconds(5000);
 
@@ -153,13 +153,16 @@
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
 
 private:
-    /// Registration of a departed upstream in a restored store.
+    /// Registration of a withdrawn upstream in a restored store.
     struct unconfirmed_registration {
         registered_upstream entry;
         runtime::time_point due_at{};
     };
 
     void begin_era(std::uint64_t era, runtime::time_point now);
+    /// Whether `entry` says that an upstream is ready that this node knows to
+    /// drain or to be gone.
+    [[nodiscard]] bool is_taken_back(const registered_upstream& entry) const;
     void record_departure(const tracked_upstream& upstream,
                           runtime::time_point now);
     void remove_registration(std::string_view id, store_position position,
--- a/packages/policy/src/departed_upstreams.cpp
+++ b/packages/policy/src/departed_upstreams.cpp
@@ -35,7 +35,7 @@
     std::vector<withdrawn_upstream> all;
     all.reserve(departures_.size());
     for (const auto& [key, departure] : departures_) {
-        all.push_back({key.first, key.second, departure.is_leaving, true});
+        all.push_back({key.first, key.second, departure.is_leaving});
     }
     return all;
 }
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -111,18 +111,18 @@
     const auto unconfirmed_before = std::exchange(unconfirmed_, {});
     std::set<std::string_view> listed;
     for (const auto& entry : entries) {
-        if (is_new_era && departed_.contains(entry)) {
-            unconfirmed_[entry.id] = {entry, now + confirmation_time};
-            continue;
-        }
         const auto waiting = unconfirmed_before.find(entry.id);
-        if (waiting != unconfirmed_before.end() &&
-            waiting->second.entry.position == entry.position) {
+        const bool is_waiting =
+            waiting != unconfirmed_before.end() &&
+            waiting->second.entry.position == entry.position;
+        if (is_waiting) {
             unconfirmed_.insert(*waiting);
-            continue;
+        } else if (is_new_era && is_taken_back(entry)) {
+            unconfirmed_[entry.id] = {entry, now + confirmation_time};
+        } else {
+            put(entry, now);
         }
         listed.insert(entry.id);
-        put(entry, now);
     }
     std::vector<std::string> missing;
     for (const auto& [id, upstream] : by_id_) {
@@ -137,22 +137,31 @@
 
 void upstream_directory::begin_era(std::uint64_t era, time_point now)
 {
-    // The store may have lost the reports of upstreams that drain.
-    for (const auto& [id, upstream] : by_id_) {
-        upstream->is_leaving |= upstream->registration.is_draining;
-    }
     if (era_) {
         extend_grace(now + lapsed_registration_grace);
     }
     era_ = era;
 }
 
+bool upstream_directory::is_taken_back(const registered_upstream& entry) const
+{
+    if (entry.is_draining) {
+        return false;
+    }
+    const auto found = by_id_.find(entry.id);
+    const bool is_drained =
+        found != by_id_.end() && found->second->registration.is_draining &&
+        found->second->registration.started_at == entry.started_at;
+    return is_drained || departed_.contains(entry);
+}
+
 std::vector<withdrawn_upstream> upstream_directory::withdrawn() const
 {
     auto all = departed_.list();
     for (const auto& [id, upstream] : by_id_) {
         if (upstream->is_withdrawn()) {
-            all.push_back({id, upstream->registration.started_at, true, false});
+            all.push_back(
+                {id, upstream->registration.started_at, upstream->is_leaving});
         }
     }
     return all;
@@ -174,7 +183,7 @@
         if (each.is_leaving) {
             record_leaving(*upstream);
         }
-        if (each.is_gone) {
+        if (!upstream->is_withdrawn()) {
             remove_now(each.id, now);
             unconfirmed_[each.id] = {upstream->registration,
                                      now + confirmation_time};
@@ -186,7 +195,7 @@
                                           time_point now)
 {
     const auto& entry = upstream.registration;
-    departed_.record(entry.id, entry.started_at, upstream.is_withdrawn(), now);
+    departed_.record(entry.id, entry.started_at, upstream.is_leaving, now);
 }
 
 void upstream_directory::record_leaving(tracked_upstream& upstream)
