--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -6,7 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <tamarackhoist/node/peer_group.hpp>
+#include <tamarackhoist/node/store_peers.hpp>
 #include <tamarackhoist/peers/store_update_codec.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
 #include <tamarackhoist/policy/news_role.hpp>
@@ -50,8 +50,8 @@
                platform::store_calls calls, policy::news_role::options limits,
                std::uint64_t random_seed, hooks hooks);
 
-    /// Starts the synchronisation. `peers` must outlive this object.
-    void start(peer_group& peers);
+    /// Starts the synchronisation. `group` must outlive this object.
+    void start(peer_group& group);
     void stop();
 
     /// Handles a peer's pull or push of items.
@@ -95,7 +95,6 @@
                         std::string_view told_by);
     void push_to_peers(const std::vector<policy::store_item>& items,
                        std::uint64_t after_revision);
-    void pull_from(policy::node_id peer);
     [[nodiscard]] bool needs_pull() const;
     void pull_if_needed();
     void apply_pulled_update(const peers::store_update& news);
@@ -103,6 +102,8 @@
     [[nodiscard]] bool
     has_missed_changes(const peers::store_update& news) const;
     void record_confirmation(const peers::store_update& news);
+    /// Returns an update without items.
+    [[nodiscard]] peers::store_update make_update() const;
     [[nodiscard]] peers::store_update make_snapshot() const;
     [[nodiscard]] runtime::duration confirmation_age() const;
 
@@ -110,18 +111,11 @@
     const policy::news_role::options limits_;
     const hooks hooks_;
     std::shared_ptr<platform::news_follower> follower_;
+    store_peers peers_;
     policy::news_role role_;
     boost::asio::steady_timer timer_;
-    peer_group* peers_ = nullptr;
-    /// Live members of this node's failure domain, without this node.
-    std::vector<peers::member> domain_peers_;
-    /// Position of this node in the order in which the nodes of its failure
-    /// domain take over following the service.
-    std::size_t rank_ = 0;
     policy::store_copy copy_;
     std::optional<runtime::time_point> peer_confirmed_at_;
-    runtime::time_point last_push_at_{};
-    runtime::time_point last_pull_at_{};
     const runtime::time_point started_at_;
     /// Whether a peer has told what the service may have lost.
     bool has_peer_state_ = false;
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -7,7 +7,6 @@
 namespace tamarackhoist::node
 {
 
-using peers::member;
 using policy::store_item;
 using runtime::duration;
 using runtime::event_number;
@@ -20,8 +19,6 @@
 /// Time without a push after which the node that follows the service confirms
 /// to its peers that nothing has changed.
 constexpr duration push_interval = 300ms;
-/// Minimum time between pulls from peers.
-constexpr duration pull_interval = 100ms;
 /// Minimum time without a confirmation in which registrations may have lapsed
 /// unnoticed.
 constexpr duration min_lapse_gap = 3000ms;
@@ -29,16 +26,6 @@
 /// service may have lost.
 constexpr duration peer_state_timeout = 3000ms;
 
-/// Orders the nodes of a failure domain by their priority for following the
-/// service: nodes with more capacity first.
-bool ranks_before(const member& left, const member& right)
-{
-    if (left.capacity != right.capacity) {
-        return left.capacity > right.capacity;
-    }
-    return left.id() < right.id();
-}
-
 } // namespace
 
 store_sync::store_sync(boost::asio::io_context& context, runtime::clock clock,
@@ -46,6 +33,10 @@
                        policy::news_role::options limits,
                        std::uint64_t random_seed, hooks hooks)
     : clock_(std::move(clock)), limits_(limits), hooks_(std::move(hooks)),
+      peers_(clock_,
+             [this](const peers::store_update& update) {
+                 apply_pulled_update(update);
+             }),
       role_(limits, clock_.now()), timer_(context), started_at_(clock_.now())
 {
     platform::news_follower::options options;
@@ -112,10 +103,10 @@
         .add("told_by", told_by);
 }
 
-void store_sync::start(peer_group& peers)
+void store_sync::start(peer_group& group)
 {
-    peers_ = &peers;
-    update_members();
+    peers_.start(group);
+    pull_if_needed();
     tick();
 }
 
@@ -143,17 +134,7 @@
 
 void store_sync::update_members()
 {
-    if (peers_ == nullptr) {
-        return;
-    }
-    domain_peers_ = peers_->live_peers();
-    std::erase_if(domain_peers_, [&](const member& each) {
-        return each.failure_domain != peers_->self().failure_domain;
-    });
-    rank_ = static_cast<std::size_t>(std::count_if(
-        domain_peers_.begin(), domain_peers_.end(), [&](const member& each) {
-            return ranks_before(each, peers_->self());
-        }));
+    peers_.update_members();
     pull_if_needed();
 }
 
@@ -166,7 +147,7 @@
                            !is_store_unreachable_ &&
                            follower_->era() == copy_.position().era() &&
                            confirmation_age() <= limits_.max_age;
-    if (is_recent && now - last_push_at_ >= push_interval) {
+    if (is_recent && now - peers_.last_push_at() >= push_interval) {
         push_to_peers({}, copy_.position().revision());
     }
     timer_.expires_after(tick_interval);
@@ -179,14 +160,14 @@
 
 void store_sync::update_role()
 {
-    const bool should_follow =
-        role_.should_follow_service(rank_, copy_.is_complete(), clock_.now());
+    const bool should_follow = role_.should_follow_service(
+        peers_.rank(), copy_.is_complete(), clock_.now());
     if (should_follow == follower_->is_following()) {
         return;
     }
     runtime::log_line(event_number::news_role_changed)
         .add("follows_service", should_follow ? "yes" : "no")
-        .add("rank", rank_)
+        .add("rank", peers_.rank())
         .add("news_age_ms", confirmation_age());
     if (should_follow) {
         follower_->resume();
@@ -223,13 +204,19 @@
     hooks_.on_snapshot(copy_.items(), position);
 }
 
-peers::store_update store_sync::make_snapshot() const
+peers::store_update store_sync::make_update() const
 {
     peers::store_update news;
-    news.sender = peers_->self().name;
+    news.sender = peers_.own_name();
     news.position = copy_.position();
     news.age = confirmation_age();
     news.grace = hooks_.grace_left();
+    return news;
+}
+
+peers::store_update store_sync::make_snapshot() const
+{
+    auto news = make_update();
     news.items = copy_.items();
     news.held_back = hooks_.held_back();
     news.withdrawn = hooks_.withdrawn();
@@ -239,20 +226,10 @@
 void store_sync::push_to_peers(const std::vector<store_item>& items,
                                std::uint64_t after_revision)
 {
-    last_push_at_ = clock_.now();
-    peers::store_update news;
-    news.sender = peers_->self().name;
+    auto news = make_update();
     news.after_revision = after_revision;
-    news.position = copy_.position();
-    news.age = confirmation_age();
-    news.grace = hooks_.grace_left();
     news.items = items;
-    const auto body = peers::encode_store_update(news);
-    for (const auto& each : domain_peers_) {
-        peers_->call(
-            each.id(), peers::call_path::store_push, body,
-            [](std::string_view) {}, [](peers::call_end) {});
-    }
+    peers_.push(news);
 }
 
 bool store_sync::needs_pull() const
@@ -268,35 +245,9 @@
 
 void store_sync::pull_if_needed()
 {
-    if (!needs_pull() || clock_.now() - last_pull_at_ < pull_interval) {
-        return;
-    }
-    // A pull from another failure domain causes traffic between domains, but
-    // this node cannot serve callers without the items.
-    auto candidates = domain_peers_;
-    if (candidates.empty()) {
-        candidates = peers_->live_peers();
+    if (needs_pull()) {
+        peers_.pull_from_any();
     }
-    if (candidates.empty()) {
-        return;
-    }
-    last_pull_at_ = clock_.now();
-    std::sort(candidates.begin(), candidates.end(), ranks_before);
-    const auto attempt = static_cast<std::size_t>(
-        last_pull_at_.time_since_epoch() / pull_interval);
-    pull_from(candidates[attempt % candidates.size()].id());
-}
-
-void store_sync::pull_from(policy::node_id peer)
-{
-    peers_->call(
-        peer, peers::call_path::store_pull, {},
-        [this](std::string_view message) {
-            if (const auto news = peers::decode_store_update(message)) {
-                apply_pulled_update(*news);
-            }
-        },
-        [](peers::call_end) {});
 }
 
 void store_sync::apply_pulled_update(const peers::store_update& news)
@@ -342,17 +293,13 @@
 
 void store_sync::apply_peer_update(const peers::store_update& news)
 {
-    const auto now = clock_.now();
     const auto era_before = copy_.position().era();
     if (copy_.is_complete() && news.position.era() < era_before) {
         ++outdated_update_count_;
         return;
     }
     if (has_missed_changes(news)) {
-        if (now - last_pull_at_ >= pull_interval) {
-            last_pull_at_ = now;
-            pull_from(policy::node_id::from_name(news.sender));
-        }
+        peers_.pull_from(news.sender);
         return;
     }
     if (copy_.is_complete() && news.position.era() > era_before &&
@@ -384,10 +331,7 @@
     const auto confirmed_at = now - news.age;
     peer_confirmed_at_ =
         std::max(peer_confirmed_at_.value_or(confirmed_at), confirmed_at);
-    const bool is_domain_peer = std::any_of(
-        domain_peers_.begin(), domain_peers_.end(),
-        [&](const member& each) { return each.name == news.sender; });
-    if (is_domain_peer) {
+    if (peers_.is_in_domain(news.sender)) {
         role_.record_peer_news(confirmed_at, now);
     }
 }
