node: Refuse no route for good on a node started beside a restored store

Cause: a started node that takes a newer configuration from a peer than the restored store has did not count as holding back the store's. It answered 404 for routes that the store may have lost, while the other nodes answered 503.

--- a/packages/node/src/gateway_state.cpp
+++ b/packages/node/src/gateway_state.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <tamarackhoist/node/gateway.hpp>
 #include <tamarackhoist/runtime/log_line.hpp>
+#include <utility>
 
 /// The part of the gateway that keeps its routes and upstreams up to date: from
 /// the items of the store, and from what upstreams say in their answers.
@@ -152,8 +153,12 @@
         routes_source_ = std::max(routes_source_, source, is_before);
         return;
     }
-    routes_ = routes;
+    const auto replaced = std::exchange(routes_, routes);
     routes_source_ = source;
+    if (!is_of_store && replaced != nullptr) {
+        // A peer has it from an earlier era; the store has lost it.
+        hold_back(replaced->version());
+    }
     pools_.set_routes(routes);
     log_event(event_number::routes_in_force,
               "version " + std::to_string(routes_->version()) + " routes " +
--- a/packages/node/tests/restored_store_test.cpp
+++ b/packages/node/tests/restored_store_test.cpp
@@ -253,6 +253,34 @@
     }
 }
 
+/// Guards against 404 for a route that was added and that the store has lost.
+/// It may be written again until the operator's version is no older than the
+/// one in force.
+void a_request_without_a_route_is_not_denied_by_an_older_configuration()
+{
+    restored_store_fixture fixture;
+    change_everything(fixture);
+    for (const auto each : fixture.gateways) {
+        cr_assert_eq(fixture.status(each, "/unknown/"), 404U);
+    }
+    fixture.restore();
+    std::this_thread::sleep_for(2 * news_time);
+    fixture.gateways.push_back(fixture.fleet.start_gateway("new", "a"));
+    cr_assert(
+        fixture.fleet.wait_until([&] { return fixture.are_all_ready(); }));
+    std::this_thread::sleep_for(news_deadline);
+    for (const auto each : fixture.gateways) {
+        cr_assert_eq(fixture.status(each, "/unknown/"), 503U, "gateway %zu",
+                     each);
+    }
+    fixture.publish_second_version();
+    std::this_thread::sleep_for(news_deadline);
+    for (const auto each : fixture.gateways) {
+        cr_assert_eq(fixture.status(each, "/unknown/"), 404U, "gateway %zu",
+                     each);
+    }
+}
+
 /// Guards against old beliefs of a node that the store turns away: it hears of
 /// the restored store from its peers only.
 void a_node_that_the_store_turns_away_follows_its_peers()
@@ -323,6 +351,10 @@
 {
     a_node_started_after_a_restore_has_the_configuration_of_its_peers();
 }
+Test(restored_store, unknown_route)
+{
+    a_request_without_a_route_is_not_denied_by_an_older_configuration();
+}
 Test(restored_store, turned_away)
 {
     a_node_that_the_store_turns_away_follows_its_peers();
