--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -40,9 +40,10 @@
         std::function<std::vector<policy::store_item>()> held_back;
         /// Returns the upstreams that take no more requests.
         std::function<std::vector<policy::withdrawn_upstream>()> withdrawn;
-        /// Receives the upstreams that take no more requests from a peer, when
-        /// this node has started.
-        std::function<void(const std::vector<policy::withdrawn_upstream>&)>
+        /// Receives the upstreams that take no more requests from a peer that
+        /// has all changes up to a position.
+        std::function<void(const std::vector<policy::withdrawn_upstream>&,
+                           policy::store_position)>
             on_withdrawn;
     };
 
--- a/packages/node/src/gateway_state.cpp
+++ b/packages/node/src/gateway_state.cpp
@@ -44,8 +44,10 @@
         .held_back = [this] { return items_held_back(); },
         .withdrawn = [this] { return directory_.withdrawn(); },
         .on_withdrawn =
-            [this](const std::vector<policy::withdrawn_upstream>& upstreams) {
-                directory_.record_withdrawn(upstreams, clock_.now());
+            [this](const std::vector<policy::withdrawn_upstream>& upstreams,
+                   policy::store_position position) {
+                directory_.record_withdrawn(upstreams, position, clock_.now());
+                arm_expiry();
             }};
 }
 
@@ -196,7 +198,7 @@
         if (error) {
             return;
         }
-        directory_.expire(clock_.now());
+        directory_.expire(clock_.now(), store_sync_->confirmed_at());
         arm_expiry();
     });
 }
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -256,7 +256,7 @@
         !copy_.is_complete() || news.position.era() >= copy_.position().era();
     if (!has_peer_state_ && is_current) {
         has_peer_state_ = true;
-        hooks_.on_withdrawn(news.withdrawn);
+        hooks_.on_withdrawn(news.withdrawn, news.position);
     }
     apply_peer_update(news);
     hooks_.on_changes(news.held_back);
--- a/packages/policy/include/tamarackhoist/policy/departed_upstreams.hpp
+++ b/packages/policy/include/tamarackhoist/policy/departed_upstreams.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <tamarackhoist/policy/registered_upstream.hpp>
+#include <tamarackhoist/policy/upstream_pause.hpp>
 #include <tamarackhoist/runtime/time.hpp>
 #include <utility>
 #include <vector>
@@ -33,10 +34,19 @@
     /// seconds old.
     static constexpr runtime::duration retention = std::chrono::seconds(60);
 
-    /// Records that an incarnation is gone. `is_leaving` states whether it had
-    /// said in an answer that it leaves.
+    /// What an incarnation has said of itself in its answers.
+    struct notice {
+        bool is_leaving = false;
+        upstream_pause pause;
+    };
+
+    /// Records that an incarnation is gone.
     void record(const std::string& id, std::uint64_t started_at,
-                bool is_leaving, runtime::time_point now);
+                const notice& said, runtime::time_point now);
+
+    /// Records that an incarnation that is gone has said that it leaves. Has no
+    /// effect if it is not known to be gone.
+    void record_leaving(const registered_upstream& entry);
 
     /// Forgets an incarnation, which has registered again.
     void forget(const registered_upstream& entry);
@@ -44,9 +54,9 @@
     /// Returns whether the incarnation of `entry` is gone.
     [[nodiscard]] bool contains(const registered_upstream& entry) const;
 
-    /// Returns whether the incarnation of `entry` is gone and had said in an
-    /// answer that it leaves.
-    [[nodiscard]] bool has_left(const registered_upstream& entry) const;
+    /// Returns what the incarnation of `entry` had said before it was gone;
+    /// nothing if it is not known to be gone.
+    [[nodiscard]] notice find_notice(const registered_upstream& entry) const;
 
     /// Returns all departures, to tell other nodes.
     [[nodiscard]] std::vector<withdrawn_upstream> list() const;
@@ -56,7 +66,7 @@
     using incarnation = std::pair<std::string, std::uint64_t>;
 
     struct departure {
-        bool is_leaving = false;
+        notice said;
         runtime::time_point at{};
     };
 
--- a/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
+++ b/packages/policy/include/tamarackhoist/policy/upstream_directory.hpp
@@ -74,9 +74,9 @@
     /// renew their lapsed registrations.
     static constexpr runtime::duration lapsed_registration_grace =
         std::chrono::milliseconds(2200);
-    /// Time after which a withdrawn upstream that a restored store lists as
-    /// ready counts as such. The store removes registrations that are not
-    /// renewed for 3.6 s.
+    /// Time for which a withdrawn upstream has to stay listed as ready in a
+    /// restored store until it counts as such. The store removes registrations
+    /// that are not renewed for 3.6 s.
     static constexpr runtime::duration confirmation_time =
         std::chrono::milliseconds(5000);
 
@@ -111,9 +111,11 @@
     /// has started.
     [[nodiscard]] std::vector<withdrawn_upstream> withdrawn() const;
 
-    /// Records which upstreams take no more requests according to a peer.
+    /// Records which upstreams take no more requests according to a peer that
+    /// has all changes up to `position`. Ignored for those whose registration
+    /// is newer.
     void record_withdrawn(std::span<const withdrawn_upstream> upstreams,
-                          runtime::time_point now);
+                          store_position position, runtime::time_point now);
 
     /// Records that `upstream` has said in an answer that it leaves.
     void record_leaving(tracked_upstream& upstream);
@@ -134,10 +136,13 @@
     /// Returns the remaining grace period; zero if it is over.
     [[nodiscard]] runtime::duration grace_left(runtime::time_point now) const;
 
-    /// Applies pending removals whose grace period is over.
-    void expire(runtime::time_point now);
+    /// Applies pending removals whose grace period is over, and uses withdrawn
+    /// upstreams that have stayed listed as ready. `confirmed_at` is when the
+    /// store last confirmed what the directory was told.
+    void expire(runtime::time_point now,
+                std::optional<runtime::time_point> confirmed_at);
 
-    /// Returns when the next pending removal is due, if there is any.
+    /// Returns when `expire` has to be called next, if it has to.
     [[nodiscard]] std::optional<runtime::time_point> next_expiry() const;
 
     /// Returns the earliest time at which a paused upstream of `service` may
@@ -156,13 +161,22 @@
     /// Registration of a withdrawn upstream in a restored store.
     struct unconfirmed_registration {
         registered_upstream entry;
-        runtime::time_point due_at{};
+        /// Time at which the store still has to list it.
+        runtime::time_point usable_at{};
+        runtime::time_point next_check_at{};
     };
 
     void begin_era(std::uint64_t era, runtime::time_point now);
     /// Whether `entry` says that an upstream is ready that this node knows to
     /// drain or to be gone.
     [[nodiscard]] bool is_taken_back(const registered_upstream& entry) const;
+    void hold_unconfirmed(const registered_upstream& entry,
+                          runtime::time_point now);
+    void use_confirmed(runtime::time_point now,
+                       std::optional<runtime::time_point> confirmed_at);
+    /// Returns the upstream of this incarnation, or nullptr.
+    [[nodiscard]] upstream_handle
+    find_incarnation(std::string_view id, std::uint64_t started_at) const;
     void record_departure(const tracked_upstream& upstream,
                           runtime::time_point now);
     void remove_registration(std::string_view id, store_position position,
--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -8,6 +8,15 @@
 
 using runtime::time_point;
 
+namespace
+{
+
+/// Time until it is checked again whether the store still lists an upstream.
+constexpr runtime::duration confirmation_check_interval =
+    std::chrono::milliseconds(500);
+
+} // namespace
+
 bool tracked_upstream::is_withdrawn() const
 {
     return is_gone || registration.is_draining || is_leaving;
@@ -53,7 +62,9 @@
         current = std::make_shared<tracked_upstream>();
         current->registration = entry;
         current->warm_at = now + entry.warm_up_left;
-        current->is_leaving = departed_.has_left(entry);
+        const auto said = departed_.find_notice(entry);
+        current->is_leaving = said.is_leaving;
+        current->pause = said.pause;
         if (previous != nullptr) {
             record_departure(*previous, now);
         }
@@ -118,11 +129,14 @@
         if (is_waiting) {
             unconfirmed_.insert(*waiting);
         } else if (is_new_era && is_taken_back(entry)) {
-            unconfirmed_[entry.id] = {entry, now + confirmation_time};
+            hold_unconfirmed(entry, now);
         } else {
             put(entry, now);
         }
-        listed.insert(entry.id);
+        // An older incarnation does not vouch for the one in use.
+        if (find_incarnation(entry.id, entry.started_at) != nullptr) {
+            listed.insert(entry.id);
+        }
     }
     std::vector<std::string> missing;
     for (const auto& [id, upstream] : by_id_) {
@@ -141,6 +155,21 @@
         extend_grace(now + lapsed_registration_grace);
     }
     era_ = era;
+    for (const auto& [id, upstream] : by_id_) {
+        if (upstream->removal_due_at) {
+            upstream->removal_due_at = grace_until_;
+        }
+    }
+}
+
+upstream_handle
+upstream_directory::find_incarnation(std::string_view id,
+                                     std::uint64_t started_at) const
+{
+    const auto found = by_id_.find(id);
+    const bool is_known = found != by_id_.end() &&
+                          found->second->registration.started_at == started_at;
+    return is_known ? found->second : nullptr;
 }
 
 bool upstream_directory::is_taken_back(const registered_upstream& entry) const
@@ -148,11 +177,23 @@
     if (entry.is_draining) {
         return false;
     }
+    if (departed_.contains(entry)) {
+        return true;
+    }
     const auto found = by_id_.find(entry.id);
-    const bool is_drained =
-        found != by_id_.end() && found->second->registration.is_draining &&
-        found->second->registration.started_at == entry.started_at;
-    return is_drained || departed_.contains(entry);
+    if (found == by_id_.end()) {
+        return false;
+    }
+    const auto& known = found->second->registration;
+    return known.started_at > entry.started_at ||
+           (known.started_at == entry.started_at && known.is_draining);
+}
+
+void upstream_directory::hold_unconfirmed(const registered_upstream& entry,
+                                          time_point now)
+{
+    const auto usable_at = now + confirmation_time;
+    unconfirmed_[entry.id] = {entry, usable_at, usable_at};
 }
 
 std::vector<withdrawn_upstream> upstream_directory::withdrawn() const
@@ -168,25 +209,23 @@
 }
 
 void upstream_directory::record_withdrawn(
-    std::span<const withdrawn_upstream> upstreams, time_point now)
+    std::span<const withdrawn_upstream> upstreams, store_position position,
+    time_point now)
 {
     for (const auto& each : upstreams) {
-        const auto found = by_id_.find(each.id);
-        const bool is_known =
-            found != by_id_.end() &&
-            found->second->registration.started_at == each.started_at;
-        if (!is_known) {
-            departed_.record(each.id, each.started_at, each.is_leaving, now);
+        const auto upstream = find_incarnation(each.id, each.started_at);
+        if (upstream == nullptr) {
+            departed_.record(each.id, each.started_at, {each.is_leaving, {}},
+                             now);
             continue;
         }
-        const auto upstream = found->second;
         if (each.is_leaving) {
             record_leaving(*upstream);
         }
-        if (!upstream->is_withdrawn()) {
+        const bool is_newer = upstream->registration.position > position;
+        if (!is_newer && !upstream->is_withdrawn()) {
             remove_now(each.id, now);
-            unconfirmed_[each.id] = {upstream->registration,
-                                     now + confirmation_time};
+            hold_unconfirmed(upstream->registration, now);
         }
     }
 }
@@ -195,11 +234,22 @@
                                           time_point now)
 {
     const auto& entry = upstream.registration;
-    departed_.record(entry.id, entry.started_at, upstream.is_leaving, now);
+    departed_.record(entry.id, entry.started_at,
+                     {upstream.is_leaving, upstream.pause}, now);
 }
 
 void upstream_directory::record_leaving(tracked_upstream& upstream)
 {
+    const auto& entry = upstream.registration;
+    const auto registered = find_incarnation(entry.id, entry.started_at);
+    if (upstream.is_gone && registered != nullptr &&
+        registered.get() != &upstream) {
+        // An answer to a request from before its registration lapsed.
+        record_leaving(*registered);
+    }
+    if (upstream.is_gone) {
+        departed_.record_leaving(entry);
+    }
     const bool was_withdrawn = upstream.is_withdrawn();
     upstream.is_leaving = true;
     if (!was_withdrawn) {
@@ -263,7 +313,8 @@
     }
 }
 
-void upstream_directory::expire(time_point now)
+void upstream_directory::expire(time_point now,
+                                std::optional<time_point> confirmed_at)
 {
     std::vector<std::string> due;
     for (const auto& [id, upstream] : by_id_) {
@@ -274,13 +325,25 @@
     for (const auto& id : due) {
         remove_now(id, now);
     }
+    use_confirmed(now, confirmed_at);
+}
+
+void upstream_directory::use_confirmed(time_point now,
+                                       std::optional<time_point> confirmed_at)
+{
     std::vector<registered_upstream> confirmed;
-    for (const auto& [id, registration] : unconfirmed_) {
-        if (registration.due_at <= now) {
+    for (auto& [id, registration] : unconfirmed_) {
+        if (registration.next_check_at > now) {
+            continue;
+        }
+        if (confirmed_at && *confirmed_at >= registration.usable_at) {
             confirmed.push_back(registration.entry);
+            continue;
         }
+        registration.next_check_at = now + confirmation_check_interval;
     }
     for (const auto& entry : confirmed) {
+        unconfirmed_.erase(entry.id);
         put(entry, now);
     }
 }
@@ -297,7 +360,7 @@
         }
     }
     for (const auto& [id, registration] : unconfirmed_) {
-        add(registration.due_at);
+        add(registration.next_check_at);
     }
     return next;
 }
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -391,8 +391,9 @@
     };
     using strings = std::vector<std::string>;
     cr_assert(ids() == (strings{"replaced 2", "sound 1"}));
-    directory.expire(start_of_test + 2300ms);
-    cr_assert(ids() == (strings{"replaced 2", "sound 1"}));
+    directory.expire(start_of_test + 2300ms, start_of_test + 2300ms);
+    cr_assert(ids() == (strings{"sound 1"}),
+              "the replacement has not registered again");
     replacement.position = {2, 3};
     directory.put(replacement, start_of_test + 2500ms);
     directory.put(fixture.make_entry("gone", 4, 2), start_of_test + 2500ms);
@@ -411,14 +412,15 @@
         directory.replace_all(std::vector{drained}, {1, 9}, start_of_test);
         directory.replace_all(std::vector{fixture.make_entry("u", 1, 2)},
                               {2, 2}, start_of_test);
-        directory.expire(start_of_test + 3s);
+        directory.expire(start_of_test + 3s, start_of_test + 3s);
         cr_assert(directory.find_ready("s").empty());
         cr_assert_eq(directory.size(), 1U, "its open requests go on");
         if (is_written_again) {
             directory.put(fixture.make_entry("u", 3, 2), start_of_test + 3s);
         } else {
-            directory.expire(start_of_test +
-                             policy::upstream_directory::confirmation_time);
+            const auto usable_at =
+                start_of_test + policy::upstream_directory::confirmation_time;
+            directory.expire(usable_at, usable_at);
         }
         cr_assert_eq(directory.find_ready("s").size(), 1U);
     }
@@ -439,7 +441,7 @@
     cr_assert(directory.find_ready("s").empty());
     const auto due = directory.next_expiry();
     cr_assert(due.has_value());
-    directory.expire(*due);
+    directory.expire(*due, *due);
     cr_assert_eq(directory.find_ready("s").size(), 1U);
 }
 
@@ -455,7 +457,7 @@
                           start_of_test);
     directory.remove("u", {2, 2}, start_of_test + 1s);
     cr_assert(!directory.next_expiry());
-    directory.expire(start_of_test + 1min);
+    directory.expire(start_of_test + 1min, start_of_test + 1min);
     cr_assert_eq(directory.size(), 0U);
 }
 
@@ -473,7 +475,7 @@
     cr_assert(directory.find_ready("s").empty());
     directory.put(fixture.make_entry("u", 60), start_of_test);
     directory.remove("u", {1, 70}, start_of_test);
-    directory.expire(start_of_test + 1min);
+    directory.expire(start_of_test + 1min, start_of_test + 1min);
     cr_assert(directory.find_ready("s").empty());
     cr_assert_eq(directory.size(), 1U);
 }
@@ -490,7 +492,7 @@
                           start_of_test);
     cr_assert_eq(directory.find_ready("s").size(), 2U);
     directory.put(fixture.make_entry("back", 5, 2), start_of_test + 2s);
-    directory.expire(start_of_test + 2300ms);
+    directory.expire(start_of_test + 2300ms, start_of_test + 2300ms);
     cr_assert_eq(directory.find_ready("s").size(), 2U);
 }
 
@@ -514,11 +516,11 @@
         listed.push_back(peer.make_entry(id, 1, 2));
     }
     directory_fixture told_first;
-    told_first.directory.record_withdrawn(withdrawn, start_of_test);
+    told_first.directory.record_withdrawn(withdrawn, {2, 1}, start_of_test);
     told_first.directory.replace_all(listed, {2, 1}, start_of_test);
     directory_fixture told_later;
     told_later.directory.replace_all(listed, {2, 1}, start_of_test);
-    told_later.directory.record_withdrawn(withdrawn, start_of_test);
+    told_later.directory.record_withdrawn(withdrawn, {2, 1}, start_of_test);
     for (auto* each : {&told_first, &told_later}) {
         const auto ready = each->directory.find_ready("s");
         cr_assert_eq(ready.size(), 1U);
@@ -526,6 +528,112 @@
     }
 }
 
+/// Guards against an upstream that is gone and used again 5 s after a restore,
+/// although the store has said nothing since then that it is still listed.
+void time_alone_does_not_confirm_a_departed_upstream()
+{
+    directory_fixture fixture;
+    auto& directory = fixture.directory;
+    directory.replace_all(std::vector{fixture.make_entry("u", 1)}, {1, 1},
+                          start_of_test);
+    directory.remove("u", {1, 2}, start_of_test);
+    directory.replace_all(std::vector{fixture.make_entry("u", 1, 2)}, {2, 1},
+                          start_of_test);
+    for (const auto passed : {5s, 20s}) {
+        directory.expire(start_of_test + passed, start_of_test + 4s);
+        cr_assert(directory.find_ready("s").empty());
+        cr_assert(directory.next_expiry() > start_of_test + passed,
+                  "it is checked again later, not at once");
+    }
+    directory.expire(start_of_test + 21s, start_of_test + 5s);
+    cr_assert_eq(directory.find_ready("s").size(), 1U);
+}
+
+/// Guards against the address of an older incarnation, which a restored store
+/// lists, in place of the live one. The node never knew the older one.
+void a_restored_store_does_not_bring_an_older_incarnation_back()
+{
+    directory_fixture fixture;
+    auto& directory = fixture.directory;
+    auto restarted = fixture.make_entry("u", 50);
+    restarted.started_at = 2;
+    restarted.address = "10.0.0.2";
+    directory.replace_all(std::vector{restarted}, {1, 50}, start_of_test);
+    directory.replace_all(std::vector{fixture.make_entry("u", 5, 2)}, {2, 5},
+                          start_of_test);
+    const auto ready = directory.find_ready("s");
+    cr_assert_eq(ready.size(), 1U);
+    cr_assert_eq(ready.front()->registration.started_at, 2U);
+    directory.expire(start_of_test + 2300ms, start_of_test + 2300ms);
+    cr_assert(directory.find_ready("s").empty(),
+              "the live one has not registered again");
+}
+
+/// Guards against the loss of a live upstream whose grace period began with the
+/// restore before: it has the whole period after the last one.
+void a_second_restore_extends_the_grace_period()
+{
+    directory_fixture fixture;
+    auto& directory = fixture.directory;
+    directory.replace_all(std::vector{fixture.make_entry("u", 5)}, {1, 5},
+                          start_of_test);
+    directory.replace_all({}, {2, 3}, start_of_test);
+    directory.replace_all({}, {3, 3}, start_of_test + 1500ms);
+    directory.expire(start_of_test + 2300ms, start_of_test + 2300ms);
+    cr_assert_eq(directory.find_ready("s").size(), 1U);
+    directory.expire(start_of_test + 3700ms, start_of_test + 3700ms);
+    cr_assert(directory.find_ready("s").empty());
+}
+
+/// Guards against a live upstream that is taken out of use, as a peer has not
+/// heard yet that it returned.
+void an_outdated_peer_withdraws_no_upstream()
+{
+    directory_fixture fixture;
+    auto& directory = fixture.directory;
+    directory.replace_all(std::vector{fixture.make_entry("u", 90)}, {1, 95},
+                          start_of_test);
+    const std::vector<policy::withdrawn_upstream> told{{"u", 1, false}};
+    directory.record_withdrawn(told, {1, 89}, start_of_test);
+    cr_assert_eq(directory.find_ready("s").size(), 1U);
+    directory.record_withdrawn(told, {1, 96}, start_of_test);
+    cr_assert(directory.find_ready("s").empty());
+}
+
+/// The same where the answer arrives after its registration has lapsed, before
+/// or after it returns.
+void an_answer_after_a_lapse_tells_of_leaving()
+{
+    for (const bool has_returned : {false, true}) {
+        directory_fixture fixture;
+        auto& directory = fixture.directory;
+        directory.put(fixture.make_entry("u", 1), start_of_test);
+        const auto before = directory.find_ready("s").front();
+        directory.remove("u", {1, 2}, start_of_test);
+        if (has_returned) {
+            directory.put(fixture.make_entry("u", 3), start_of_test + 1s);
+        }
+        directory.record_leaving(*before);
+        directory.put(fixture.make_entry("u", 4), start_of_test + 1s);
+        cr_assert(directory.find_ready("s").empty());
+    }
+}
+
+/// Guards against requests to an upstream that has asked for a pause, after its
+/// registration had lapsed and returned.
+void a_lapsed_registration_does_not_end_a_pause()
+{
+    directory_fixture fixture;
+    auto& directory = fixture.directory;
+    directory.put(fixture.make_entry("u", 1), start_of_test);
+    directory.find_ready("s").front()->pause.extend(4s, 0.0, start_of_test);
+    directory.remove("u", {1, 2}, start_of_test);
+    directory.put(fixture.make_entry("u", 3), start_of_test + 1s);
+    const auto returned = directory.find_ready("s").front();
+    cr_assert(!returned->permission(start_of_test + 1s).is_granted());
+    cr_assert(returned->permission(start_of_test + 4s).is_granted());
+}
+
 /// Guards against requests to an upstream that has said in an answer that it
 /// leaves, after its registration had lapsed and returned.
 void a_lapsed_registration_does_not_take_leaving_back()
@@ -562,7 +670,7 @@
     fixture.directory.put(fixture.make_entry("kept", 3), start_of_test + 1s);
     const auto due = fixture.directory.next_expiry();
     cr_assert(due && *due - start_of_test <= 2500ms);
-    fixture.directory.expire(*due);
+    fixture.directory.expire(*due, *due);
     cr_assert_eq(fixture.directory.find_ready("s").size(), 1U);
     cr_assert_eq(fixture.events.back(), "gone lost");
 }
@@ -674,6 +782,30 @@
 {
     a_started_node_learns_which_upstreams_are_withdrawn();
 }
+Test(upstream_directory, unconfirmed_departure)
+{
+    time_alone_does_not_confirm_a_departed_upstream();
+}
+Test(upstream_directory, older_incarnation_in_copy)
+{
+    a_restored_store_does_not_bring_an_older_incarnation_back();
+}
+Test(upstream_directory, second_restore)
+{
+    a_second_restore_extends_the_grace_period();
+}
+Test(upstream_directory, outdated_peer)
+{
+    an_outdated_peer_withdraws_no_upstream();
+}
+Test(upstream_directory, leaving_said_after_lapse)
+{
+    an_answer_after_a_lapse_tells_of_leaving();
+}
+Test(upstream_directory, pause_after_lapse)
+{
+    a_lapsed_registration_does_not_end_a_pause();
+}
 Test(upstream_directory, leaving_after_lapse)
 {
     a_lapsed_registration_does_not_take_leaving_back();
