node: Ask peers once an era what a restored store has lost

Found by the review, reproduced by it and by restored_store_test returning_node: a node alone in its failure domain, which the store had turned away between the copy and the restore, listed the restored store and answered 404 for a route that its peers served, and used an upstream that they knew to be gone. Only a started node asked, and only in its first 3 s.

Change: whoever lists a restored store itself asks two nodes, of other failure domains where there are any, and passes on what it learns; pushes of all items carry it as well. A peer that has not heard of the restore still tells its configuration, whose version decides. peer_inquiry says when to ask.

No call to the store more; in the first era nothing changes.

--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -88,6 +88,8 @@
     void apply_item(const policy::store_item& source,
                     const platform::news_item& item);
     void apply_changes(const std::vector<policy::store_item>& items);
+    /// Uses only the configuration among `items`.
+    void apply_configurations(const std::vector<policy::store_item>& items);
     void apply_snapshot(const std::vector<policy::store_item>& items,
                         policy::store_position position);
     /// Begins the time in which the store may lack what it had before.
--- a/packages/node/include/tamarackhoist/node/store_peers.hpp
+++ b/packages/node/include/tamarackhoist/node/store_peers.hpp
@@ -34,9 +34,13 @@
 
     /// Sends an update to all nodes of the failure domain.
     void push(const peers::store_update& update);
-    /// Asks one node for all items, with a different choice at each call. Has
-    /// no effect within a short time after another pull.
+    /// Asks one node for all items, with a different choice at each call,
+    /// preferably of this failure domain. Has no effect within a short time
+    /// after another pull.
     void pull_from_any();
+    /// The same, preferably of another failure domain, whose nodes read the
+    /// service on their own.
+    void pull_from_other_domain();
     /// The same, of the node `name`.
     void pull_from(std::string_view name);
 
@@ -48,6 +52,7 @@
 
 private:
     [[nodiscard]] bool has_pulled_recently() const;
+    void pull_from_one_of(std::vector<peers::member> candidates);
     void pull(policy::node_id peer);
 
     const runtime::clock clock_;
--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -10,6 +10,7 @@
 #include <tamarackhoist/peers/store_update_codec.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
 #include <tamarackhoist/policy/news_role.hpp>
+#include <tamarackhoist/policy/peer_inquiry.hpp>
 #include <tamarackhoist/policy/store_copy.hpp>
 #include <tamarackhoist/runtime/clock.hpp>
 #include <vector>
@@ -38,6 +39,9 @@
         std::function<runtime::duration()> grace_left;
         /// Returns items of an earlier era that are in force.
         std::function<std::vector<policy::store_item>()> held_back;
+        /// Receives items that are, or were, in force at a peer.
+        std::function<void(const std::vector<policy::store_item>&)>
+            on_held_back;
         /// Returns the upstreams that take no more requests.
         std::function<std::vector<policy::withdrawn_upstream>()> withdrawn;
         /// Receives the upstreams that take no more requests from a peer that
@@ -96,7 +100,10 @@
                         std::string_view told_by);
     void push_to_peers(const std::vector<policy::store_item>& items,
                        std::uint64_t after_revision);
-    [[nodiscard]] bool needs_pull() const;
+    /// Pushes what the service has lost, without items.
+    void push_memory();
+    /// Adds what this node knows and the service may have lost.
+    void add_memory(peers::store_update& news) const;
     void pull_if_needed();
     void apply_pulled_update(const peers::store_update& news);
     void apply_peer_update(const peers::store_update& news);
@@ -116,10 +123,8 @@
     policy::news_role role_;
     boost::asio::steady_timer timer_;
     policy::store_copy copy_;
+    policy::peer_inquiry inquiry_;
     std::optional<runtime::time_point> peer_confirmed_at_;
-    const runtime::time_point started_at_;
-    /// Whether a peer has told what the service may have lost.
-    bool has_peer_state_ = false;
     bool is_store_unreachable_ = false;
     std::uint64_t restore_count_ = 0;
     std::uint64_t outdated_update_count_ = 0;
--- a/packages/node/src/gateway_state.cpp
+++ b/packages/node/src/gateway_state.cpp
@@ -42,6 +42,10 @@
             },
         .grace_left = [this] { return directory_.grace_left(clock_.now()); },
         .held_back = [this] { return items_held_back(); },
+        .on_held_back =
+            [this](const std::vector<policy::store_item>& items) {
+                apply_configurations(items);
+            },
         .withdrawn = [this] { return directory_.withdrawn(); },
         .on_withdrawn =
             [this](const std::vector<policy::withdrawn_upstream>& upstreams,
@@ -61,6 +65,16 @@
     arm_expiry();
 }
 
+void gateway::apply_configurations(const std::vector<policy::store_item>& items)
+{
+    for (const auto& each : items) {
+        const auto item = decode_(each);
+        if (item && std::holds_alternative<platform::routes_published>(*item)) {
+            apply_item(each, *item);
+        }
+    }
+}
+
 void gateway::apply_item(const policy::store_item& source,
                          const platform::news_item& item)
 {
--- a/packages/node/src/store_peers.cpp
+++ b/packages/node/src/store_peers.cpp
@@ -90,6 +90,26 @@
     if (candidates.empty()) {
         candidates = group_->live_peers();
     }
+    pull_from_one_of(std::move(candidates));
+}
+
+void store_peers::pull_from_other_domain()
+{
+    if (group_ == nullptr || has_pulled_recently()) {
+        return;
+    }
+    auto candidates = group_->live_peers();
+    std::erase_if(candidates, [&](const member& each) {
+        return each.failure_domain == group_->self().failure_domain;
+    });
+    if (candidates.empty()) {
+        candidates = domain_peers_;
+    }
+    pull_from_one_of(std::move(candidates));
+}
+
+void store_peers::pull_from_one_of(std::vector<member> candidates)
+{
     if (candidates.empty()) {
         return;
     }
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -22,10 +22,6 @@
 /// Minimum time without a confirmation in which registrations may have lapsed
 /// unnoticed.
 constexpr duration min_lapse_gap = 3000ms;
-/// Time after the start of the node in which it asks its peers what a restored
-/// service may have lost.
-constexpr duration peer_state_timeout = 3000ms;
-
 } // namespace
 
 store_sync::store_sync(boost::asio::io_context& context, runtime::clock clock,
@@ -37,7 +33,7 @@
              [this](const peers::store_update& update) {
                  apply_pulled_update(update);
              }),
-      role_(limits, clock_.now()), timer_(context), started_at_(clock_.now())
+      role_(limits, clock_.now()), timer_(context)
 {
     platform::news_follower::options options;
     options.watch_timeout = limits.watch_timeout;
@@ -48,46 +44,52 @@
 
 platform::news_follower::observer store_sync::make_follower_observer()
 {
-    return {.listed =
-                [this](const std::vector<store_item>& items,
-                       policy::store_position position) {
-                    replace_items(items, position);
-                    push_to_peers(copy_.items(), 0);
-                },
-            .changed =
-                [this](const std::vector<store_item>& items,
-                       policy::store_position position) {
-                    const auto previous_revision = copy_.position().revision();
-                    merge_items(items, position);
-                    // Also without changes: the peers learn at once that the
-                    // service has confirmed what they know.
-                    push_to_peers(items, previous_revision);
-                },
-            .regained =
-                [this] {
-                    is_store_unreachable_ = false;
-                    runtime::log_line(event_number::platform_regained)
-                        .add("revision", copy_.position().revision());
-                    hooks_.extend_grace(
-                        policy::upstream_directory::lapsed_registration_grace);
-                },
-            .lost =
-                [this](platform::store_error error) {
-                    // In the other cases the store has answered, and all items
-                    // are listed next.
-                    is_store_unreachable_ =
-                        error == platform::store_error::unavailable ||
-                        error == platform::store_error::refused ||
-                        error == platform::store_error::outdated;
-                    runtime::log_line(event_number::platform_read_failed)
-                        .add("reason", platform::to_string(error))
-                        .add("revision", copy_.position().revision())
-                        .add("news_age_ms", confirmation_age());
-                },
-            .restored =
-                [this](std::uint64_t era_before, std::uint64_t era) {
-                    record_restore(era_before, era, "store");
-                }};
+    return {
+        .listed =
+            [this](const std::vector<store_item>& items,
+                   policy::store_position position) {
+                const bool is_new_era = !copy_.is_complete() ||
+                                        position.era() > copy_.position().era();
+                replace_items(items, position);
+                push_to_peers(copy_.items(), 0);
+                if (is_new_era && position.era() != policy::first_store_era) {
+                    inquiry_.start(clock_.now());
+                }
+            },
+        .changed =
+            [this](const std::vector<store_item>& items,
+                   policy::store_position position) {
+                const auto previous_revision = copy_.position().revision();
+                merge_items(items, position);
+                // Also without changes: the peers learn at once that the
+                // service has confirmed what they know.
+                push_to_peers(items, previous_revision);
+            },
+        .regained =
+            [this] {
+                is_store_unreachable_ = false;
+                runtime::log_line(event_number::platform_regained)
+                    .add("revision", copy_.position().revision());
+                hooks_.extend_grace(
+                    policy::upstream_directory::lapsed_registration_grace);
+            },
+        .lost =
+            [this](platform::store_error error) {
+                // In the other cases the store has answered, and all items
+                // are listed next.
+                is_store_unreachable_ =
+                    error == platform::store_error::unavailable ||
+                    error == platform::store_error::refused ||
+                    error == platform::store_error::outdated;
+                runtime::log_line(event_number::platform_read_failed)
+                    .add("reason", platform::to_string(error))
+                    .add("revision", copy_.position().revision())
+                    .add("news_age_ms", confirmation_age());
+            },
+        .restored =
+            [this](std::uint64_t era_before, std::uint64_t era) {
+                record_restore(era_before, era, "store");
+            }};
 }
 
 void store_sync::record_restore(std::uint64_t era_before, std::uint64_t era,
@@ -218,48 +220,66 @@
 {
     auto news = make_update();
     news.items = copy_.items();
+    add_memory(news);
+    return news;
+}
+
+void store_sync::add_memory(peers::store_update& news) const
+{
     news.held_back = hooks_.held_back();
     news.withdrawn = hooks_.withdrawn();
-    return news;
 }
 
-void store_sync::push_to_peers(const std::vector<store_item>& items,
-                               std::uint64_t after_revision)
+void store_sync::push_memory()
 {
     auto news = make_update();
-    news.after_revision = after_revision;
-    news.items = items;
+    news.after_revision = copy_.position().revision();
+    add_memory(news);
     peers_.push(news);
 }
 
-bool store_sync::needs_pull() const
+void store_sync::push_to_peers(const std::vector<store_item>& items,
+                               std::uint64_t after_revision)
 {
-    if (!copy_.is_complete()) {
-        return true;
+    auto news = make_update();
+    news.after_revision = after_revision;
+    news.items = items;
+    const bool is_restored = copy_.position().era() != policy::first_store_era;
+    if (news.has_all_items() && is_restored) {
+        add_memory(news);
     }
-    // A restored service may hold less than the peers know.
-    return !has_peer_state_ &&
-           copy_.position().era() != policy::first_store_era &&
-           clock_.now() - started_at_ < peer_state_timeout;
+    peers_.push(news);
 }
 
 void store_sync::pull_if_needed()
 {
-    if (needs_pull()) {
+    if (!copy_.is_complete()) {
         peers_.pull_from_any();
+        return;
+    }
+    if (inquiry_.try_ask(clock_.now())) {
+        peers_.pull_from_other_domain();
     }
 }
 
 void store_sync::apply_pulled_update(const peers::store_update& news)
 {
-    const bool is_current =
-        !copy_.is_complete() || news.position.era() >= copy_.position().era();
-    if (!has_peer_state_ && is_current) {
-        has_peer_state_ = true;
-        hooks_.on_withdrawn(news.withdrawn, news.position);
+    const bool is_outdated =
+        copy_.is_complete() && news.position.era() < copy_.position().era();
+    if (is_outdated) {
+        // The peer has not heard of the restore, and may know more than the
+        // service has now.
+        hooks_.on_held_back(news.items);
+    } else {
+        inquiry_.record_answer();
     }
     apply_peer_update(news);
-    hooks_.on_changes(news.held_back);
+    const bool has_memory = !news.held_back.empty() || !news.withdrawn.empty();
+    if (follower_->is_following() && has_memory && !is_outdated &&
+        copy_.position().era() != policy::first_store_era) {
+        // The peers of this failure domain have not asked anyone.
+        push_memory();
+    }
 }
 
 void store_sync::handle_call(const std::shared_ptr<peers::incoming_call>& call)
@@ -312,11 +332,14 @@
         hooks_.extend_grace(
             policy::upstream_directory::lapsed_registration_grace);
     }
+    // Before the list, which may name upstreams that are gone.
+    hooks_.on_withdrawn(news.withdrawn, news.position);
     if (news.has_all_items() && news.position >= copy_.position()) {
         replace_items(news.items, news.position);
     } else {
         merge_items(news.items, news.position);
     }
+    hooks_.on_held_back(news.held_back);
     follower_->skip_to(copy_.position());
     record_confirmation(news);
 }
--- a/packages/node/tests/fake_store.hpp
+++ b/packages/node/tests/fake_store.hpp
@@ -70,8 +70,11 @@
     [[nodiscard]] int list_count() const { return list_count_; }
     /// Cuts a client off: its pending call and all later ones get no answer.
     void cut_off(std::size_t client) { is_cut_off_[client] = true; }
-    /// Turns the calls of a client away from now on.
-    void turn_away(std::size_t client) { is_turned_away_[client] = true; }
+    /// Sets whether the calls of a client are turned away.
+    void turn_away(std::size_t client, bool is_turned_away = true)
+    {
+        is_turned_away_[client] = is_turned_away;
+    }
 
     /// Returns the client of one gateway, whose calls run on `context`. A watch
     /// polls for changes.
--- a/packages/node/tests/restored_store_test.cpp
+++ b/packages/node/tests/restored_store_test.cpp
@@ -292,6 +292,25 @@
     expect_added_route_in_time(fixture);
 }
 
+/// Guards against 404, and requests to an upstream that is gone, from a node
+/// alone in its failure domain that heard nothing between the copy and the
+/// restore, and lists the restored store as soon as it can.
+void a_returning_node_asks_its_peers_what_the_store_has_lost()
+{
+    restored_store_fixture fixture;
+    constexpr std::size_t lone_client = 2;
+    fixture.fleet.store.turn_away(lone_client);
+    std::this_thread::sleep_for(news_time);
+    fixture.publish_second_version();
+    fixture.fleet.unregister_upstream("removed");
+    std::this_thread::sleep_for(2s);
+    fixture.restore();
+    fixture.fleet.store.turn_away(lone_client, false);
+    std::this_thread::sleep_for(news_deadline);
+    cr_assert(fixture.is_served_everywhere("/second/"));
+    cr_assert_eq(fixture.count_requests_to("removed", 500ms), 0);
+}
+
 void several_restores_in_a_row_are_followed()
 {
     restored_store_fixture fixture;
@@ -359,6 +378,10 @@
 {
     a_node_that_the_store_turns_away_follows_its_peers();
 }
+Test(restored_store, returning_node)
+{
+    a_returning_node_asks_its_peers_what_the_store_has_lost();
+}
 Test(restored_store, several_restores)
 {
     several_restores_in_a_row_are_followed();
