platform, node: Take no missing era for a new one; log a version written again

A store whose eras start at 0 locked a node out with one answer without the header, which counted as era 1 (missing_era fails before, passes after). A version held back outlived the era that it was of.

--- a/packages/node/include/tamarackhoist/node/gateway.hpp
+++ b/packages/node/include/tamarackhoist/node/gateway.hpp
@@ -102,6 +102,7 @@
     apply_routes(const policy::store_item& source,
                  const std::shared_ptr<const policy::routing_table>& routes);
     void hold_back(std::uint64_t version);
+    void log_routes_in_force() const;
     void log_unusable_value(const platform::unusable_value& value);
     void arm_expiry();
     void set_gauges();
--- a/packages/node/src/gateway_state.cpp
+++ b/packages/node/src/gateway_state.cpp
@@ -123,6 +123,7 @@
 {
     const bool is_restored = store_era_ || era != policy::first_store_era;
     store_era_ = era;
+    held_back_version_.reset();
     if (is_restored) {
         store_settles_at_ =
             clock_.now() +
@@ -162,11 +163,13 @@
         }
         return;
     }
-    if (is_of_store) {
-        held_back_version_.reset();
-    }
+    const bool is_written_again =
+        is_of_store && std::exchange(held_back_version_, std::nullopt);
     if (routes_ != nullptr && routes->version() == routes_->version()) {
         routes_source_ = std::max(routes_source_, source, is_before);
+        if (is_written_again) {
+            log_routes_in_force();
+        }
         return;
     }
     const auto replaced = std::exchange(routes_, routes);
@@ -176,10 +179,15 @@
         hold_back(replaced->version());
     }
     pools_.set_routes(routes);
+    log_routes_in_force();
+    log_first_readiness();
+}
+
+void gateway::log_routes_in_force() const
+{
     log_event(event_number::routes_in_force,
               "version " + std::to_string(routes_->version()) + " routes " +
                   std::to_string(routes_->route_count()));
-    log_first_readiness();
 }
 
 void gateway::log_first_readiness()
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -114,7 +114,9 @@
         return era_.value_or(policy::first_store_era);
     }
     if (!response.era.number && response.result) {
-        return policy::first_store_era;
+        // Never later than the known one: nothing says that it has ended.
+        return std::min(era_.value_or(policy::first_store_era),
+                        policy::first_store_era);
     }
     return response.era.number;
 }
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -307,6 +307,17 @@
     cr_assert_eq(fixture.follower->malformed_era_count(), 2U);
 }
 
+/// Guards against a node that drops every answer of a store whose eras start at
+/// 0, since one answer without an era counted as one of era 1.
+void a_missing_era_starts_no_new_one()
+{
+    follower_fixture fixture;
+    fixture.run({make_answer(0, 3), store_response(news_batch{{}, 4, {}}),
+                 make_answer(0, 5)});
+    cr_assert_eq(fixture.follower->outdated_response_count(), 0U);
+    cr_assert_eq(fixture.calls.back(), "watch 5");
+}
+
 void a_malformed_era_counts_as_the_known_one()
 {
     follower_fixture fixture;
@@ -481,6 +492,10 @@
 {
     a_missing_or_malformed_era_has_no_effect();
 }
+Test(news_follower, missing_era)
+{
+    a_missing_era_starts_no_new_one();
+}
 Test(news_follower, malformed_era)
 {
     a_malformed_era_counts_as_the_known_one();
