platform: Let an answer that is read late confirm nothing recent

A process that was paused reads an answer that may be as old as its pause, and its pushes then keep its peers from reading the store themselves.

Change: an answer confirms at most as of the time at which its call could have ended. What it brings is used as before.

Measured: news_follower_test answer_after_pause fails before, 25 of 25 pass after; gateway_test 22 of 22.

--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -158,6 +158,9 @@
     void request_changes();
     void handle_changes(news_result result);
     void record_response();
+    /// Latest time at which the store may have given the answer to the current
+    /// call. A process that was paused reads it later.
+    [[nodiscard]] runtime::time_point latest_answer_time() const;
     /// Lists all items because the changes cannot be had. The store has
     /// answered, so this is no failure.
     void list_again(store_error error);
@@ -188,6 +191,7 @@
     std::optional<std::uint64_t> era_;
     std::optional<runtime::time_point> confirmed_at_;
     std::uint32_t consecutive_failures_ = 0;
+    runtime::time_point call_started_at_{};
     std::uint64_t call_count_ = 0;
     std::uint64_t malformed_era_count_ = 0;
     std::uint64_t outdated_response_count_ = 0;
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -14,6 +14,8 @@
 /// Largest random deviation of a retry delay in either direction, as a
 /// fraction of the delay.
 constexpr double max_retry_jitter = 0.3;
+/// Time beyond the wait of a watch within which a call ends.
+constexpr duration max_call_overhead = std::chrono::milliseconds(1500);
 /// Limit of the keys and values of one list.
 constexpr std::size_t max_listed_bytes = std::size_t(32) * 1024 * 1024;
 
@@ -72,6 +74,7 @@
 store_calls::handler news_follower::make_handler(result_handler handle)
 {
     ++call_count_;
+    call_started_at_ = clock_.now();
     auto self = shared_from_this();
     return [self, handle,
             generation = ++call_generation_](store_response response) {
@@ -179,7 +182,7 @@
 {
     if (!list_position_) {
         list_position_ = {*era_, batch.store_revision};
-        list_started_at_ = clock_.now();
+        list_started_at_ = latest_answer_time();
     }
     for (auto& item : batch.items) {
         listed_bytes_ += item.key.size() + item.value.size();
@@ -225,7 +228,7 @@
         }
         return;
     }
-    confirmed_at_ = clock_.now();
+    confirmed_at_ = latest_answer_time();
     const auto& batch = result.value();
     position_ = std::max(*position_, {*era_, batch.store_revision});
     observer_.changed(batch.items, *position_);
@@ -239,6 +242,12 @@
     run_after(options_.batching_delay, [this] { request_changes(); });
 }
 
+runtime::time_point news_follower::latest_answer_time() const
+{
+    return std::min(clock_.now(), call_started_at_ + options_.watch_timeout +
+                                      max_call_overhead);
+}
+
 void news_follower::record_response()
 {
     if (consecutive_failures_ > 0) {
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <string>
 #include <tamarackhoist/platform/news_follower.hpp>
+#include <tamarackhoist/runtime/paused_clock.hpp>
 
 #include <criterion/criterion.h>
 
@@ -394,6 +395,41 @@
     cr_assert(fixture.follower->confirmed_at() > confirmed_at);
 }
 
+/// Guards against a node that vouches for old news after a pause: the answer to
+/// its watch had arrived before, and is read when the process goes on.
+void an_answer_read_after_a_pause_confirms_nothing_recent()
+{
+    boost::asio::io_context context;
+    runtime::paused_clock time;
+    platform::store_calls::handler pending;
+    const auto follower = std::make_shared<platform::news_follower>(
+        context, time.view(),
+        platform::news_follower::options{.watch_timeout = 1s},
+        platform::store_calls{[](const std::optional<std::string>&,
+                                 const platform::store_calls::handler& handle) {
+                                  handle(make_answer(1, 7));
+                              },
+                              [&](std::uint64_t, runtime::duration,
+                                  platform::store_calls::handler handle) {
+                                  pending = std::move(handle);
+                              }},
+        platform::news_follower::observer{
+            [](store_items, policy::store_position) {},
+            [](store_items, policy::store_position) {}, [] {},
+            [](store_error) {},
+            [](std::uint64_t, std::uint64_t) {
+            }});
+    follower->resume();
+    time.advance(900ms);
+    const auto in_time = std::exchange(pending, nullptr);
+    in_time(news_batch{{}, 7, {}});
+    cr_assert(follower->confirmed_at() == time.now());
+    time.advance(20s);
+    const auto late = std::exchange(pending, nullptr);
+    late(news_batch{{}, 7, {}});
+    cr_assert(*follower->confirmed_at() < time.now() - 15s);
+}
+
 void the_revision_never_decreases()
 {
     follower_fixture fixture;
@@ -492,6 +528,10 @@
 {
     a_missing_or_malformed_era_has_no_effect();
 }
+Test(news_follower, answer_after_pause)
+{
+    an_answer_read_after_a_pause_confirms_nothing_recent();
+}
 Test(news_follower, missing_era)
 {
     a_missing_era_starts_no_new_one();
