policy: Keep what a newer list lacks out when an older one ends late

Cause: store_copy::replace took a list whose first page was older than the list that the copy held. A list has no tombstones, so an item that was removed between the two came back, and stayed until the next list. It happens when a node that reads several pages gives up reading, or is overtaken by a peer's push of a newer list, before its last page arrives. The node then pushed its items, at the newer position, to its failure domain.

Ruled out: to drop such a list, as its later pages may hold newer items.

Change: a list that a newer one of its era has overtaken is merged. What is missing in the copy and no newer than its list was removed.

Figures: store_copy_test overtaken_by_list failed before and passes now.

--- a/packages/policy/src/store_copy.cpp
+++ b/packages/policy/src/store_copy.cpp
@@ -32,6 +32,11 @@
     if (position.era() < position_.era()) {
         return false;
     }
+    if (position < listed_position_) {
+        // What a newer list lacked has been removed since.
+        merge(items, position);
+        return true;
+    }
     std::map<std::string, store_item> next;
     for (const auto& item : items) {
         next[item.key] = item;
--- a/packages/policy/tests/store_copy_test.cpp
+++ b/packages/policy/tests/store_copy_test.cpp
@@ -94,6 +94,20 @@
     cr_assert(copy.merge(changes, at(11, 2)) == changes);
 }
 
+/// Guards against a list that a newer one has overtaken, as when a peer that
+/// took over reading was faster: it holds what has been removed since.
+void an_overtaken_list_does_not_restore_what_a_newer_one_lacks()
+{
+    store_copy copy;
+    copy.replace(store_items{make_item("a", 3)}, at(12));
+    const store_items older{make_item("a", 3), make_item("b", 4),
+                            make_item("c", 13)};
+    cr_assert(copy.replace(older, at(10)));
+    const store_items expected{make_item("a", 3), make_item("c", 13)};
+    cr_assert(copy.items() == expected);
+    cr_assert(copy.position() == at(12));
+}
+
 /// Guards against pushes and lists of the era before, which arrive late.
 void what_is_of_an_earlier_era_is_ignored()
 {
@@ -141,6 +155,10 @@
 {
     a_late_push_does_not_restore_what_a_list_lacks();
 }
+Test(store_copy, overtaken_by_list)
+{
+    an_overtaken_list_does_not_restore_what_a_newer_one_lacks();
+}
 Test(store_copy, overtaken_list)
 {
     a_list_keeps_newer_items();
