policy: Merge a list of the position that the copy was listed at

Cause: two nodes may list from the same revision, and a removal while they do is missing only in the later pages of one. Its reader, which then pulled the other's items, got the removed one back until its next watch. A departed upstream that a restored store had listed was offered so.

Ruled out: to hold departed upstreams back in each list of an era and not only in the first, as one that lapsed and registered again would wait 5 s.

Change: as for a list that a newer one has overtaken. What the copy lacks and is no newer than its list was removed; what is newer is taken.

--- a/packages/policy/include/tamarackhoist/policy/store_copy.hpp
+++ b/packages/policy/include/tamarackhoist/policy/store_copy.hpp
@@ -26,7 +26,7 @@
 
     /// Replaces the copy by a list of all items as of `position`. Items of the
     /// same era that have arrived meanwhile and are newer are kept. A list that
-    /// a newer one of its era has overtaken is merged. Ignored if the list is
+    /// another of its era has caught up with is merged. Ignored if the list is
     /// of an earlier era. Returns whether it was used.
     bool replace(std::span<const store_item> items, store_position position);
 
--- a/packages/policy/src/store_copy.cpp
+++ b/packages/policy/src/store_copy.cpp
@@ -32,8 +32,8 @@
     if (position.era() < position_.era()) {
         return false;
     }
-    if (position < listed_position_) {
-        // What a newer list lacked has been removed since.
+    if (position <= listed_position_) {
+        // What the list that is held lacks has been removed.
         merge(items, position);
         return true;
     }
--- a/packages/policy/tests/store_copy_test.cpp
+++ b/packages/policy/tests/store_copy_test.cpp
@@ -108,6 +108,18 @@
     cr_assert(copy.position() == at(12));
 }
 
+/// Guards against two lists from one revision, as two nodes read them: the
+/// later pages of one may lack what was removed while they were read.
+void a_list_of_the_same_position_restores_nothing()
+{
+    store_copy copy;
+    const store_items items{make_item("a", 3)};
+    copy.replace(items, at(10));
+    cr_assert(copy.replace(store_items{make_item("a", 3), make_item("b", 4)},
+                           at(10)));
+    cr_assert(copy.items() == items);
+}
+
 /// Guards against pushes and lists of the era before, which arrive late.
 void what_is_of_an_earlier_era_is_ignored()
 {
@@ -159,6 +171,10 @@
 {
     an_overtaken_list_does_not_restore_what_a_newer_one_lacks();
 }
+Test(store_copy, list_of_same_position)
+{
+    a_list_of_the_same_position_restores_nothing();
+}
 Test(store_copy, overtaken_list)
 {
     a_list_keeps_newer_items();
