policy: Bring no withdrawn upstream back that the store does not list

After 5 s a node offered what the store did not have.

Change: only a registration that the store lists now waits to be used again.

--- a/packages/policy/src/upstream_directory.cpp
+++ b/packages/policy/src/upstream_directory.cpp
@@ -223,8 +223,13 @@
             record_leaving(*upstream);
         }
         const bool is_newer = upstream->registration.position > position;
-        if (!is_newer && !upstream->is_withdrawn()) {
-            remove_now(each.id, now);
+        if (is_newer || upstream->is_withdrawn()) {
+            continue;
+        }
+        remove_now(each.id, now);
+        const bool is_listed = upstream->registration.position.era() == era_ &&
+                               !upstream->removal_due_at;
+        if (is_listed) {
             hold_unconfirmed(upstream->registration, now);
         }
     }
--- a/packages/policy/tests/forwarding_state_test.cpp
+++ b/packages/policy/tests/forwarding_state_test.cpp
@@ -600,6 +600,47 @@
     cr_assert(directory.find_ready("s").empty());
 }
 
+/// Guards against an upstream that is used although the restored store does not
+/// list it: a peer told that it is gone while its grace period lasted, and it
+/// took the place of the older incarnation that is listed and held.
+void a_withdrawn_upstream_that_is_not_listed_does_not_return()
+{
+    directory_fixture fixture;
+    auto& directory = fixture.directory;
+    directory.replace_all(std::vector{fixture.make_entry("u", 1)}, {1, 1},
+                          start_of_test);
+    auto restarted = fixture.make_entry("u", 2);
+    restarted.started_at = 2;
+    directory.put(restarted, start_of_test);
+    const std::vector listed{fixture.make_entry("u", 1, 2)};
+    directory.replace_all(listed, {2, 1}, start_of_test);
+    const std::vector<policy::withdrawn_upstream> told{{"u", 1, false},
+                                                       {"u", 2, false}};
+    directory.record_withdrawn(told, {2, 1}, start_of_test);
+    directory.replace_all(listed, {2, 1}, start_of_test);
+    cr_assert(directory.find_ready("s").empty());
+    directory.expire(start_of_test + 5s, start_of_test + 5s);
+    for (const auto& each : directory.find_ready("s")) {
+        cr_assert_eq(each->registration.started_at, 1U);
+    }
+}
+
+/// The same where the store has removed it meanwhile, and a peer that lags says
+/// within the grace period that it is gone.
+void a_withdrawn_upstream_that_was_removed_does_not_return()
+{
+    directory_fixture fixture;
+    auto& directory = fixture.directory;
+    directory.replace_all({}, {1, 1}, start_of_test);
+    directory.replace_all(std::vector{fixture.make_entry("u", 1, 2)}, {2, 1},
+                          start_of_test);
+    directory.remove("u", {2, 2}, start_of_test);
+    const std::vector<policy::withdrawn_upstream> told{{"u", 1, false}};
+    directory.record_withdrawn(told, {2, 1}, start_of_test);
+    directory.expire(start_of_test + 5s, start_of_test + 5s);
+    cr_assert_eq(directory.size(), 0U);
+}
+
 /// The same where the answer arrives after its registration has lapsed, before
 /// or after it returns.
 void an_answer_after_a_lapse_tells_of_leaving()
@@ -798,6 +839,14 @@
 {
     an_outdated_peer_withdraws_no_upstream();
 }
+Test(upstream_directory, withdrawn_and_not_listed)
+{
+    a_withdrawn_upstream_that_is_not_listed_does_not_return();
+}
+Test(upstream_directory, withdrawn_and_removed)
+{
+    a_withdrawn_upstream_that_was_removed_does_not_return();
+}
 Test(upstream_directory, leaving_said_after_lapse)
 {
     an_answer_after_a_lapse_tells_of_leaving();
