programs: Survive a change of the settings while the program starts

It has nothing to do with the restored store.

Change: the signal is ignored until the server runs; the settings are read after that point anyway.

Not covered by a test, as the moment cannot be chosen.

--- a/packages/programs/src/tamarackhoistd.cpp
+++ b/packages/programs/src/tamarackhoistd.cpp
@@ -176,6 +176,9 @@
 
 int main(int argument_count, char** arguments)
 {
+    // The settings have not been read yet, so that a change of them needs no
+    // action. By default the signal would end the process.
+    static_cast<void>(std::signal(SIGHUP, SIG_IGN));
     gflags::SetUsageMessage(
         "runs one node of the query tier\n"
         "  tamarackhoistd --config FILE [--role node|gateway] "
