node: Skip work that a push without withdrawn upstreams does not need

Each push, also the one of every 300 ms, walked all upstreams and set the expiry timer anew, although it named no withdrawn upstream. Each list copied all items for a count that only the log line of a new era shows.

No change of behaviour.

--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -195,7 +195,7 @@
 {
     const bool is_new_era =
         copy_.is_complete() && position.era() > copy_.position().era();
-    const auto count_before = copy_.items().size();
+    const auto count_before = is_new_era ? copy_.items().size() : 0;
     if (!copy_.replace(items, position)) {
         return;
     }
@@ -336,7 +336,9 @@
             policy::upstream_directory::lapsed_registration_grace);
     }
     // Before the list, which may name upstreams that are gone.
-    hooks_.on_withdrawn(news.withdrawn, news.position);
+    if (!news.withdrawn.empty()) {
+        hooks_.on_withdrawn(news.withdrawn, news.position);
+    }
     if (news.has_all_items() && news.position >= copy_.position()) {
         replace_items(news.items, news.position);
     } else {
