review: Show a gone server in use through a grace period without an outage

Cause: looked for state that outlives what it was about.

The store is down for 4 s and comes back; 10 s later the machine that reads it for its zone is cut off from it, and a server's entry is removed. The store's stand-in gets an entrance for each machine that can be cut.

--- a/review/stand_ins_2/stage.cpp
+++ b/review/stand_ins_2/stage.cpp
@@ -293,9 +293,8 @@
 }
 
 store::store()
-    : listener_(std::make_unique<listener>(
-          [this](connection& caller) { serve(caller); }))
 {
+    add_entrance();
 }
 
 store::~store()
@@ -305,7 +304,34 @@
         is_stopped_ = true;
     }
     changed_.notify_all();
-    listener_.reset();
+    for (const auto& each : entrances_) {
+        each->accepting.reset();
+    }
+}
+
+std::size_t store::add_entrance()
+{
+    entrances_.push_back(std::make_unique<machine_entrance>());
+    auto& added = *entrances_.back();
+    added.accepting = std::make_unique<listener>(
+        [this, &added](connection& caller) { serve(caller, added); });
+    return entrances_.size() - 1;
+}
+
+steady::time_point store::last_call(std::size_t number)
+{
+    const std::lock_guard guard(mutex_);
+    return entrances_[number]->last_call;
+}
+
+void store::set_down(bool is_down)
+{
+    is_down_ = is_down;
+    for (const auto& each : entrances_) {
+        if (is_down) {
+            each->accepting->drop_connections();
+        }
+    }
 }
 
 void store::put(const std::string& key, const std::string& value)
@@ -322,18 +348,20 @@
     changed_.notify_all();
 }
 
-void store::serve(connection& caller)
+void store::serve(connection& caller, machine_entrance& entrance)
 {
     constexpr milliseconds idle_timeout{60'000};
     while (const auto request = caller.read(idle_timeout)) {
-        const auto& target = request->second;
-        std::string body;
-        if (target.starts_with("/kv-range")) {
-            body = list(decode_percent(find_parameter(target, "after")));
-        } else if (target.starts_with("/kv-watch")) {
-            const auto wait = find_parameter(target, "waitMs");
-            body = watch(std::stoull(find_parameter(target, "after")),
-                         milliseconds(std::stoll(wait)));
+        if (is_down_) {
+            return;
+        }
+        {
+            const std::lock_guard guard(mutex_);
+            entrance.last_call = steady::now();
+        }
+        const auto body = answer(request->second);
+        if (!wait_for_passage(entrance) || is_down_) {
+            return;
         }
         const bool is_found = !body.empty();
         if (!caller.send(std::string("HTTP/1.1 ") +
@@ -346,6 +374,31 @@
     }
 }
 
+std::string store::answer(const std::string& target)
+{
+    if (target.starts_with("/kv-range")) {
+        return list(decode_percent(find_parameter(target, "after")));
+    }
+    if (target.starts_with("/kv-watch")) {
+        const auto wait = find_parameter(target, "waitMs");
+        return watch(std::stoull(find_parameter(target, "after")),
+                     milliseconds(std::stoll(wait)));
+    }
+    return {};
+}
+
+bool store::wait_for_passage(const machine_entrance& entrance)
+{
+    while (entrance.is_cut) {
+        std::this_thread::sleep_for(milliseconds(10));
+        const std::lock_guard guard(mutex_);
+        if (is_stopped_) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::string store::list(const std::string& after)
 {
     const std::lock_guard guard(mutex_);
--- a/review/stand_ins_2/stage.hpp
+++ b/review/stand_ins_2/stage.hpp
@@ -127,11 +127,24 @@
 
     [[nodiscard]] const endpoint& address() const
     {
-        return listener_->address();
+        return entrances_.front()->accepting->address();
     }
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
+    /// Opens an address for one machine and returns its number.
+    std::size_t add_entrance();
+    [[nodiscard]] const endpoint& entrance(std::size_t number) const
+    {
+        return entrances_[number]->accepting->address();
+    }
+    /// Calls of this machine get no answer any more.
+    void cut(std::size_t number) { entrances_[number]->is_cut = true; }
+    /// Time of the machine's last call.
+    [[nodiscard]] steady::time_point last_call(std::size_t number);
+    /// While the store is down, it ends all connections without an answer.
+    void set_down(bool is_down);
+
 private:
     struct item {
         std::string value;
@@ -139,7 +152,18 @@
         bool is_removed = false;
     };
 
-    void serve(connection& caller);
+    struct machine_entrance {
+        std::atomic<bool> is_cut{false};
+        steady::time_point last_call{};
+        std::unique_ptr<listener> accepting;
+    };
+
+    void serve(connection& caller, machine_entrance& entrance);
+    /// Returns the body of the answer, empty for an unknown call.
+    std::string answer(const std::string& target);
+    /// Holds an answer back while the machine is cut off. Returns whether to
+    /// send it.
+    bool wait_for_passage(const machine_entrance& entrance);
     std::string list(const std::string& after);
     std::string watch(std::uint64_t after, std::chrono::milliseconds wait);
 
@@ -148,7 +172,8 @@
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
     bool is_stopped_ = false;
-    std::unique_ptr<listener> listener_;
+    std::atomic<bool> is_down_{false};
+    std::vector<std::unique_ptr<machine_entrance>> entrances_;
 };
 
 /// A gateway process with the settings that the deploy file's template makes.
