node: Log when and why missing registrations are kept

The logs showed that the take-over itself is in time and that all four nodes drop the upstream 2.2 s after E512. They did not show what the three peers waited for, their own judgement or what they were told, nor which failures E512 ends.

Change: E512 counts the failures and gives the age of the news before it. The new E517 says that a grace period begins, the age of the news and who told it. No other change.

One node's E512 makes the others wait.

--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -98,6 +98,8 @@
                        policy::store_position position);
     void record_restore(std::uint64_t era_before, std::uint64_t era,
                         std::string_view told_by);
+    /// Keeps registrations that may have lapsed unnoticed for this time.
+    void extend_grace(runtime::duration left, std::string_view told_by);
     void push_to_peers(const std::vector<policy::store_item>& items,
                        std::uint64_t after_revision);
     /// Pushes what the service has lost, without items.
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -66,12 +66,15 @@
                 push_to_peers(items, previous_revision);
             },
         .regained =
-            [this] {
+            [this](std::uint32_t failures) {
                 is_store_unreachable_ = false;
                 runtime::log_line(event_number::platform_regained)
-                    .add("revision", copy_.position().revision());
-                hooks_.extend_grace(
-                    policy::upstream_directory::lapsed_registration_grace);
+                    .add("revision", copy_.position().revision())
+                    .add("failures", failures)
+                    .add("news_age_ms", confirmation_age());
+                extend_grace(
+                    policy::upstream_directory::lapsed_registration_grace,
+                    "store");
             },
         .lost =
             [this](platform::store_error error) {
@@ -105,6 +108,17 @@
         .add("told_by", told_by);
 }
 
+void store_sync::extend_grace(duration left, std::string_view told_by)
+{
+    if (hooks_.grace_left() == duration::zero()) {
+        runtime::log_line(event_number::grace_period_started)
+            .add("grace_ms", left)
+            .add("news_age_ms", confirmation_age())
+            .add("told_by", told_by);
+    }
+    hooks_.extend_grace(left);
+}
+
 void store_sync::start(peer_group& group)
 {
     peers_.start(group);
@@ -330,10 +344,10 @@
         record_restore(era_before, news.position.era(), news.sender);
     }
     if (news.grace > duration::zero()) {
-        hooks_.extend_grace(news.grace);
+        extend_grace(news.grace, news.sender);
     } else if (copy_.is_complete() && confirmation_age() > min_lapse_gap) {
-        hooks_.extend_grace(
-            policy::upstream_directory::lapsed_registration_grace);
+        extend_grace(policy::upstream_directory::lapsed_registration_grace,
+                     news.sender);
     }
     // Before the list, which may name upstreams that are gone.
     if (!news.withdrawn.empty()) {
--- a/packages/node/tests/model_node.hpp
+++ b/packages/node/tests/model_node.hpp
@@ -261,7 +261,7 @@
                         push(changes, previous);
                     },
                 .regained =
-                    [this] {
+                    [this](std::uint32_t) {
                         is_store_unreachable_ = false;
                         extend_grace();
                     },
--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -72,8 +72,8 @@
                            policy::store_position)>
             changed;
         /// Called on the first response after a failure, before the items of
-        /// that response are reported.
-        std::function<void()> regained;
+        /// that response are reported, with the number of failures.
+        std::function<void(std::uint32_t)> regained;
         /// Called on the first of consecutive failures, and whenever the
         /// changes cannot be had and all items are listed again.
         std::function<void(store_error)> lost;
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -251,8 +251,7 @@
 void news_follower::record_response()
 {
     if (consecutive_failures_ > 0) {
-        consecutive_failures_ = 0;
-        observer_.regained();
+        observer_.regained(std::exchange(consecutive_failures_, 0U));
     }
 }
 
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -56,7 +56,7 @@
                                            std::to_string(items.size()));
                       }
                   },
-                  [this] { events.push_back("regained"); },
+                  [this](std::uint32_t) { events.push_back("regained"); },
                   [this](store_error error) {
                       events.push_back(platform::to_string(error));
                   },
@@ -415,7 +415,7 @@
                               }},
         platform::news_follower::observer{
             [](store_items, policy::store_position) {},
-            [](store_items, policy::store_position) {}, [] {},
+            [](store_items, policy::store_position) {}, [](std::uint32_t) {},
             [](store_error) {},
             [](std::uint64_t, std::uint64_t) {
             }});
--- a/packages/runtime/include/tamarackhoist/runtime/event.hpp
+++ b/packages/runtime/include/tamarackhoist/runtime/event.hpp
@@ -51,6 +51,7 @@
     store_restored = 514,
     restored_store_listed = 515,
     configuration_held_back = 516,
+    grace_period_started = 517,
     ownership_changed = 520,
     relay_failed = 530,
     request_outcome_unknown = 600,
--- a/packages/runtime/src/event.cpp
+++ b/packages/runtime/src/event.cpp
@@ -61,6 +61,8 @@
                       "restored store listed"},
     event_description{configuration_held_back, warning,
                       "configuration held back"},
+    event_description{grace_period_started, information,
+                      "grace period started"},
     event_description{ownership_changed, information, "ownership changed"},
     event_description{relay_failed, warning, "relay failed"},
     event_description{request_outcome_unknown, warning,
