platform: Forget failed calls when a node follows the store again

Cause: news_follower kept its count of failed calls over a pause.

Ruled out: a late take-over (1,951 ms after the last confirmation, as designed), and the peers' own judgement (E517 told_by=gateway3 on all of them).

Change: resume() begins with no failures. The flag is gone; whether the reader is in contact with the store follows from the follower.

--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -127,7 +127,6 @@
     policy::store_copy copy_;
     policy::peer_inquiry inquiry_;
     std::optional<runtime::time_point> peer_confirmed_at_;
-    bool is_store_unreachable_ = false;
     std::uint64_t restore_count_ = 0;
     std::uint64_t outdated_update_count_ = 0;
 };
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -67,7 +67,6 @@
             },
         .regained =
             [this](std::uint32_t failures) {
-                is_store_unreachable_ = false;
                 runtime::log_line(event_number::platform_regained)
                     .add("revision", copy_.position().revision())
                     .add("failures", failures)
@@ -78,12 +77,6 @@
             },
         .lost =
             [this](platform::store_error error) {
-                // In the other cases the store has answered, and all items
-                // are listed next.
-                is_store_unreachable_ =
-                    error == platform::store_error::unavailable ||
-                    error == platform::store_error::refused ||
-                    error == platform::store_error::outdated;
                 runtime::log_line(event_number::platform_read_failed)
                     .add("reason", platform::to_string(error))
                     .add("revision", copy_.position().revision())
@@ -159,8 +152,7 @@
     update_role();
     pull_if_needed();
     const auto now = clock_.now();
-    const bool is_recent = copy_.is_complete() && follower_->is_following() &&
-                           !is_store_unreachable_ &&
+    const bool is_recent = copy_.is_complete() && follower_->is_in_contact() &&
                            follower_->era() == copy_.position().era() &&
                            confirmation_age() <= limits_.max_age;
     // While items are listed, the peers hear that they need not do the same.
--- a/packages/node/tests/gateway_fixture.hpp
+++ b/packages/node/tests/gateway_fixture.hpp
@@ -179,6 +179,8 @@
         settings.peers = endpoints[3];
         settings.store = {"127.0.0.1", 1};
         settings.extra_attempt_allowance = 1000;
+        settings.max_configuration_age = news_deadline;
+        settings.drain_delay = news_deadline;
         if (!callers_.empty()) {
             settings.seeds = {peer_addresses_.front()};
         }
@@ -293,6 +295,9 @@
     }
 
     fake_store store;
+    /// Time within which gateways that are started from now on learn of changes
+    /// of the store.
+    runtime::duration news_deadline = std::chrono::seconds(3);
 
 private:
     /// Returns a loopback address that depends on the process id, so that no
--- a/packages/node/tests/model_node.hpp
+++ b/packages/node/tests/model_node.hpp
@@ -113,8 +113,7 @@
         directory_.expire(clock_.now(), confirmed_at());
         pull_if_needed();
         const bool is_recent = copy_.is_complete() &&
-                               follower_->is_following() &&
-                               !is_store_unreachable_ &&
+                               follower_->is_in_contact() &&
                                follower_->era() == copy_.position().era() &&
                                confirmation_age() <= max_age;
         if (is_recent && clock_.now() - last_push_at_ >= push_interval) {
@@ -260,18 +259,8 @@
                         merge_items(changes, position);
                         push(changes, previous);
                     },
-                .regained =
-                    [this](std::uint32_t) {
-                        is_store_unreachable_ = false;
-                        extend_grace();
-                    },
-                .lost =
-                    [this](platform::store_error error) {
-                        is_store_unreachable_ =
-                            error == platform::store_error::unavailable ||
-                            error == platform::store_error::refused ||
-                            error == platform::store_error::outdated;
-                    },
+                .regained = [this](std::uint32_t) { extend_grace(); },
+                .lost = [](platform::store_error) {},
                 .restored =
                     [this](std::uint64_t, std::uint64_t) {
                         peer_confirmed_at_.reset();
@@ -473,7 +462,6 @@
     runtime::time_point era_began_at_{};
     policy::peer_inquiry inquiry_;
     bool is_taking_peer_state_ = false;
-    bool is_store_unreachable_ = false;
 };
 
 } // namespace tamarackhoist::node
--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -101,17 +101,24 @@
                   options options, store_calls calls, observer observer);
 
     /// Starts following: watches from the last known position, or lists all
-    /// items if there is none. Has no effect while following.
+    /// items if there is none. Failures before that don't count any more. Has
+    /// no effect while following.
     void resume();
     /// Stops making calls. The changes that a pending call brings are still
     /// reported: the peer that has news from now on may know less.
     void pause();
 
     [[nodiscard]] bool is_following() const { return is_following_; }
+    /// Whether this node follows, and no call has failed since the last
+    /// response.
+    [[nodiscard]] bool is_in_contact() const
+    {
+        return is_following_ && consecutive_failures_ == 0;
+    }
     /// Whether all items are being listed, and the last call succeeded.
     [[nodiscard]] bool is_listing() const
     {
-        return is_following_ && !position_ && consecutive_failures_ == 0;
+        return is_in_contact() && !position_;
     }
 
     /// Continues from `position`, because the caller has all changes up to it
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -36,6 +36,8 @@
         return;
     }
     is_following_ = true;
+    // Peers have had news since the failures before the pause.
+    consecutive_failures_ = 0;
     send_next_call();
 }
 
--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -478,6 +478,28 @@
     cr_assert_eq(fixture.calls.back(), "list -");
 }
 
+/// Guards against an outage that a node takes for one that has just ended, long
+/// after it: a peer was the first to read the store again, and this node had
+/// stopped following while it waited to try once more.
+void failures_before_a_pause_are_forgotten()
+{
+    follower_fixture fixture;
+    fixture.run({make_answer(1, 7)});
+    fixture.answer_pending(store_error::unavailable);
+    fixture.follower->pause();
+    fixture.answer_pending(store_error::unavailable);
+    cr_assert(!fixture.follower->is_in_contact());
+    fixture.follower->skip_to({1, 40});
+    fixture.follower->resume();
+    cr_assert(fixture.follower->is_in_contact());
+    fixture.events.clear();
+    fixture.answer_pending(make_answer(1, 41));
+    cr_assert(fixture.events == (strings{"changed 1"}));
+    fixture.answer_pending(store_error::unavailable);
+    cr_assert(fixture.events == (strings{"changed 1", "no usable answer"}),
+              "a new outage is reported");
+}
+
 } // namespace
 
 Test(news_follower, endless_pages)
@@ -492,6 +514,10 @@
 {
     the_result_of_a_call_pending_at_a_pause_is_used();
 }
+Test(news_follower, failures_before_pause)
+{
+    failures_before_a_pause_are_forgotten();
+}
 Test(news_follower, failed_at_pause)
 {
     a_failed_call_pending_at_a_pause_is_not_repeated();
