node: Judge an absence of the store by its confirmations, not by failed calls

What callers saw: nothing that breaks a bound by itself. Upstreams that had gone stayed in use for 2.2 s on nodes which had read the store all the while.

Any failed call of one node that was followed by an answer counted as an outage of the store: a node that was turned away or cut off alone took its return for the return of the store, and its pushes told its peers to keep missing registrations, whatever they knew themselves. A peer also began a grace period at any push while its own news were over 3.0 s old, even if that push confirmed nothing.

Change: lapse_detector (policy). Each node judges for itself, before it applies what it learns: at least 2.4 s have passed between two confirmations of what it holds, by the store or by a peer. That is the shortest absence in which a registration lapses: it is renewed every 1.2 s and removed at 3.6 s. No state of failed calls is left that could outlive its trouble; E512 is only logged. A peer's grace counts only where the receiver has missed the store as well.

Ruled out: a shorter grace period (live upstreams need two seconds to be back), and no grace after one failed call (a reader that was cut off fails many).

The fuzz's model of a node uses the same detector.

Conclusion: a cut of one node gives no grace.

--- a/packages/node/include/tamarackhoist/node/store_sync.hpp
+++ b/packages/node/include/tamarackhoist/node/store_sync.hpp
@@ -9,6 +9,7 @@
 #include <tamarackhoist/node/store_peers.hpp>
 #include <tamarackhoist/peers/store_update_codec.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
+#include <tamarackhoist/policy/lapse_detector.hpp>
 #include <tamarackhoist/policy/news_role.hpp>
 #include <tamarackhoist/policy/peer_inquiry.hpp>
 #include <tamarackhoist/policy/store_copy.hpp>
@@ -98,8 +99,14 @@
                        policy::store_position position);
     void record_restore(std::uint64_t era_before, std::uint64_t era,
                         std::string_view told_by);
-    /// Keeps registrations that may have lapsed unnoticed for this time.
-    void extend_grace(runtime::duration left, std::string_view told_by);
+    /// Returns the grace period for the registrations that this node holds;
+    /// zero if it has not received any yet.
+    [[nodiscard]] runtime::duration full_grace() const;
+    /// Records a confirmation by the service, and extends the grace period by
+    /// `grace` if registrations may have lapsed since the one before. To be
+    /// called before the changes are applied.
+    void record_lapses(runtime::time_point confirmed_at,
+                       runtime::duration grace, std::string_view told_by);
     void push_to_peers(const std::vector<policy::store_item>& items,
                        std::uint64_t after_revision);
     /// Pushes what the service has lost, without items.
@@ -125,6 +132,7 @@
     policy::news_role role_;
     boost::asio::steady_timer timer_;
     policy::store_copy copy_;
+    policy::lapse_detector lapses_;
     policy::peer_inquiry inquiry_;
     std::optional<runtime::time_point> peer_confirmed_at_;
     std::uint64_t restore_count_ = 0;
--- a/packages/node/src/store_sync.cpp
+++ b/packages/node/src/store_sync.cpp
@@ -19,9 +19,6 @@
 /// Time without a push after which the node that follows the service confirms
 /// to its peers that nothing has changed.
 constexpr duration push_interval = 300ms;
-/// Minimum time without a confirmation in which registrations may have lapsed
-/// unnoticed.
-constexpr duration min_lapse_gap = 3000ms;
 } // namespace
 
 store_sync::store_sync(boost::asio::io_context& context, runtime::clock clock,
@@ -50,6 +47,8 @@
                    policy::store_position position) {
                 const bool is_new_era = !copy_.is_complete() ||
                                         position.era() > copy_.position().era();
+                record_lapses(*follower_->confirmed_at(), full_grace(),
+                              "store");
                 replace_items(items, position);
                 push_to_peers(copy_.items(), 0);
                 if (is_new_era && position.era() != policy::first_store_era) {
@@ -60,6 +59,8 @@
             [this](const std::vector<store_item>& items,
                    policy::store_position position) {
                 const auto previous_revision = copy_.position().revision();
+                record_lapses(*follower_->confirmed_at(), full_grace(),
+                              "store");
                 merge_items(items, position);
                 // Also without changes: the peers learn at once that the
                 // service has confirmed what they know.
@@ -71,9 +72,6 @@
                     .add("revision", copy_.position().revision())
                     .add("failures", failures)
                     .add("news_age_ms", confirmation_age());
-                extend_grace(
-                    policy::upstream_directory::lapsed_registration_grace,
-                    "store");
             },
         .lost =
             [this](platform::store_error error) {
@@ -101,15 +99,27 @@
         .add("told_by", told_by);
 }
 
-void store_sync::extend_grace(duration left, std::string_view told_by)
+duration store_sync::full_grace() const
 {
-    if (hooks_.grace_left() == duration::zero()) {
-        runtime::log_line(event_number::grace_period_started)
-            .add("grace_ms", left)
-            .add("news_age_ms", confirmation_age())
-            .add("told_by", told_by);
+    return copy_.is_complete()
+               ? policy::upstream_directory::lapsed_registration_grace
+               : duration::zero();
+}
+
+void store_sync::record_lapses(runtime::time_point confirmed_at, duration grace,
+                               std::string_view told_by)
+{
+    const auto before = lapses_.last_confirmed_at();
+    const bool may_have_lapsed = lapses_.record_confirmation(confirmed_at);
+    if (!may_have_lapsed || grace == duration::zero()) {
+        return;
+    }
+    runtime::log_line line(event_number::grace_period_started);
+    line.add("grace_ms", grace).add("told_by", told_by);
+    if (before) {
+        line.add("absence_ms", confirmed_at - *before);
     }
-    hooks_.extend_grace(left);
+    hooks_.extend_grace(grace);
 }
 
 void store_sync::start(peer_group& group)
@@ -335,12 +345,9 @@
         news.position.era() > follower_->era()) {
         record_restore(era_before, news.position.era(), news.sender);
     }
-    if (news.grace > duration::zero()) {
-        extend_grace(news.grace, news.sender);
-    } else if (copy_.is_complete() && confirmation_age() > min_lapse_gap) {
-        extend_grace(policy::upstream_directory::lapsed_registration_grace,
-                     news.sender);
-    }
+    const bool is_in_grace = news.grace > duration::zero();
+    record_lapses(clock_.now() - news.age,
+                  is_in_grace ? news.grace : full_grace(), news.sender);
     // Before the list, which may name upstreams that are gone.
     if (!news.withdrawn.empty()) {
         hooks_.on_withdrawn(news.withdrawn, news.position);
--- a/packages/node/tests/model_node.hpp
+++ b/packages/node/tests/model_node.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <tamarackhoist/peers/store_update_codec.hpp>
 #include <tamarackhoist/platform/news_follower.hpp>
+#include <tamarackhoist/policy/lapse_detector.hpp>
 #include <tamarackhoist/policy/peer_inquiry.hpp>
 #include <tamarackhoist/policy/store_copy.hpp>
 #include <tamarackhoist/policy/upstream_directory.hpp>
@@ -165,11 +166,9 @@
             news.position.era() > follower_->era()) {
             peer_confirmed_at_.reset();
         }
-        if (news.grace > runtime::duration::zero()) {
-            directory_.extend_grace(clock_.now() + news.grace);
-        } else if (copy_.is_complete() && confirmation_age() > min_lapse_gap) {
-            extend_grace();
-        }
+        const bool is_in_grace = news.grace > runtime::duration::zero();
+        record_lapses(clock_.now() - news.age,
+                      is_in_grace ? news.grace : full_grace());
         if (news.has_all_items() && news.position >= copy_.position()) {
             replace_items(news.items, news.position);
         } else {
@@ -221,7 +220,6 @@
 private:
     static constexpr runtime::duration push_interval = 300ms;
     static constexpr runtime::duration max_age = 1800ms;
-    static constexpr runtime::duration min_lapse_gap = 3000ms;
 
     platform::store_calls make_calls()
     {
@@ -246,6 +244,7 @@
                         const bool is_new_era =
                             !copy_.is_complete() ||
                             position.era() > copy_.position().era();
+                        record_lapses(*follower_->confirmed_at(), full_grace());
                         replace_items(list, position);
                         push(copy_.items(), 0);
                         if (is_new_era &&
@@ -256,10 +255,11 @@
                 .changed =
                     [this](items changes, policy::store_position position) {
                         const auto previous = copy_.position().revision();
+                        record_lapses(*follower_->confirmed_at(), full_grace());
                         merge_items(changes, position);
                         push(changes, previous);
                     },
-                .regained = [this](std::uint32_t) { extend_grace(); },
+                .regained = [](std::uint32_t) {},
                 .lost = [](platform::store_error) {},
                 .restored =
                     [this](std::uint64_t, std::uint64_t) {
@@ -267,11 +267,19 @@
                     }};
     }
 
-    void extend_grace()
+    [[nodiscard]] runtime::duration full_grace() const
     {
-        directory_.extend_grace(
-            clock_.now() +
-            policy::upstream_directory::lapsed_registration_grace);
+        return copy_.is_complete()
+                   ? policy::upstream_directory::lapsed_registration_grace
+                   : runtime::duration::zero();
+    }
+
+    void record_lapses(runtime::time_point confirmed_at,
+                       runtime::duration grace)
+    {
+        if (lapses_.record_confirmation(confirmed_at)) {
+            directory_.extend_grace(clock_.now() + grace);
+        }
     }
 
     [[nodiscard]] std::optional<runtime::time_point> confirmed_at() const
@@ -452,6 +460,7 @@
     withdrawals known_;
     policy::upstream_directory directory_;
     policy::store_copy copy_;
+    policy::lapse_detector lapses_;
     std::shared_ptr<platform::news_follower> follower_;
     std::set<incarnation> leaving_;
     std::map<std::uint64_t, int> list_counts_;
--- a/packages/node/tests/store_absence_test.cpp
+++ b/packages/node/tests/store_absence_test.cpp
@@ -150,6 +150,24 @@
                           drain_delay);
 }
 
+/// Guards against a node that takes its own cut for an outage of the store and
+/// tells its peers, which have read the store all the while.
+void a_reader_that_returns_gives_its_peers_no_grace()
+{
+    store_absence_fixture fixture(2);
+    auto& store = fixture.fleet.store;
+    const auto reader = fixture.find_reader_after_answer();
+    store.turn_away(reader);
+    std::this_thread::sleep_for(store_outage);
+    const auto calls = store.call_count(reader);
+    store.turn_away(reader, false);
+    cr_assert(fixture.fleet.wait_until(
+        [&] { return store.call_count(reader) > calls + 1; }));
+    fixture.fleet.unregister_upstream("u");
+    expect_removal_within(fixture.measure_removal(std::nullopt, drain_delay),
+                          news_time);
+}
+
 /// Live upstreams whose registrations have lapsed in an outage stay in use on
 /// every node until they are back.
 void live_upstreams_stay_in_use_after_an_outage()
@@ -189,6 +207,10 @@
 {
     a_node_that_takes_over_forgets_an_earlier_outage();
 }
+Test(store_absence, returning_reader)
+{
+    a_reader_that_returns_gives_its_peers_no_grace();
+}
 Test(store_absence, live_upstreams)
 {
     live_upstreams_stay_in_use_after_an_outage();
