policy: Keep a hand-over of reading shorter than an absence of the store

What callers saw, where nodes have 5 s to learn of a change: an upstream that had gone was in use for over 5 s on nodes that nothing disturbed.

Cause: the limits of a hand-over were shares of the deadline for news. At 5 s a node takes over 3.25 s after the last confirmation, at 6 s after 3.9 s: longer than the 2.4 s in which registrations may lapse, so a hand-over could not be told from an absence of the store. Its first watch made it longer still: without a change the store answers only at the end of the wait.

Change: the watch, the age and the delay for a rank follow from at most 3 s (2.4 s / 80 %); the limit of silence follows from the deadline as before. The delay for a rank is 4 % in place of 5 %, so that rank 4 takes over after 2.28 s and not after 2.4. The first watch of a node that takes over or has failed waits for 1 ms: the store's answer confirms at once, and its peers need not take over as well.

The fake store's calls of a client that is cut off now fail after a timeout, as those of the real client do, and it can be reached again.

--- a/packages/node/tests/fake_store.hpp
+++ b/packages/node/tests/fake_store.hpp
@@ -73,8 +73,12 @@
     {
         list_delay_ms_ = static_cast<int>(delay.count());
     }
-    /// Cuts a client off: its pending call and all later ones get no answer.
-    void cut_off(std::size_t client) { is_cut_off_[client] = true; }
+    /// Cuts a client off: its pending call and all later ones get no answer and
+    /// fail some time after they should have got one.
+    void cut_off(std::size_t client, bool is_cut_off = true)
+    {
+        is_cut_off_[client] = is_cut_off;
+    }
     /// Sets whether the calls of a client are turned away.
     void turn_away(std::size_t client, bool is_turned_away = true)
     {
@@ -113,6 +117,8 @@
 
 private:
     static constexpr std::size_t max_clients = 8;
+    /// Time beyond its wait after which a call without an answer fails.
+    static constexpr auto response_timeout = std::chrono::milliseconds(700);
 
     struct content {
         std::vector<policy::store_item> items;
@@ -126,6 +132,8 @@
         /// Era of the store when the call was made.
         std::uint64_t era = 0;
         bool is_list = false;
+        /// Set when the client was cut off meanwhile: no answer comes.
+        bool is_lost = false;
     };
 
     void write(policy::store_item item)
@@ -146,7 +154,17 @@
         timer->async_wait(
             [this, &context, timer, call, handle = std::move(handle)](
                 boost::system::error_code error) mutable {
-                if (error || is_cut_off_.at(call.client)) {
+                if (error) {
+                    return;
+                }
+                if (call.is_lost || is_cut_off_.at(call.client)) {
+                    call.is_lost = true;
+                    call.wait -= poll_interval;
+                    if (call.wait > -response_timeout) {
+                        answer_when_changed(context, call, std::move(handle));
+                    } else {
+                        handle(platform::store_error::unavailable);
+                    }
                     return;
                 }
                 auto response = answer(call);
--- a/packages/node/tests/store_absence_test.cpp
+++ b/packages/node/tests/store_absence_test.cpp
@@ -168,6 +168,35 @@
                           news_time);
 }
 
+/// Guards against a hand-over of reading that counts as an absence, where nodes
+/// have more time to learn of a change than registrations take to lapse.
+void a_hand_over_at_a_long_deadline_gives_no_grace()
+{
+    constexpr auto long_deadline = 5s;
+    store_absence_fixture fixture(3, long_deadline);
+    const auto reader = fixture.find_reader_after_answer();
+    fixture.fleet.store.cut_off(reader);
+    fixture.fleet.unregister_upstream("u");
+    expect_removal_within(fixture.measure_removal(reader, long_deadline),
+                          long_deadline);
+}
+
+/// Guards against a short cut of the reader that counts as an absence of the
+/// store, as the reader is the first to read it again.
+void a_reader_back_from_a_short_cut_gives_no_grace()
+{
+    constexpr auto long_deadline = 5s;
+    constexpr auto cut = 2500ms;
+    store_absence_fixture fixture(2, long_deadline);
+    const auto reader = fixture.find_reader_after_answer();
+    fixture.fleet.store.cut_off(reader);
+    fixture.fleet.unregister_upstream("u");
+    std::this_thread::sleep_for(cut);
+    fixture.fleet.store.cut_off(reader, false);
+    expect_removal_within(fixture.measure_removal(std::nullopt, long_deadline),
+                          long_deadline - cut);
+}
+
 /// Live upstreams whose registrations have lapsed in an outage stay in use on
 /// every node until they are back.
 void live_upstreams_stay_in_use_after_an_outage()
@@ -211,6 +240,14 @@
 {
     a_reader_that_returns_gives_its_peers_no_grace();
 }
+Test(store_absence, long_deadline)
+{
+    a_hand_over_at_a_long_deadline_gives_no_grace();
+}
+Test(store_absence, short_cut)
+{
+    a_reader_back_from_a_short_cut_gives_no_grace();
+}
 Test(store_absence, live_upstreams)
 {
     live_upstreams_stay_in_use_after_an_outage();
--- a/packages/platform/include/tamarackhoist/platform/news_follower.hpp
+++ b/packages/platform/include/tamarackhoist/platform/news_follower.hpp
@@ -163,6 +163,8 @@
     void add_to_list(news_batch& batch);
     void finish_list();
     void request_changes();
+    /// Asks the store to wait this long for changes.
+    void request_changes(runtime::duration wait);
     void handle_changes(news_result result);
     void record_response();
     /// Latest time at which the store may have given the answer to the current
--- a/packages/platform/src/news_follower.cpp
+++ b/packages/platform/src/news_follower.cpp
@@ -14,6 +14,9 @@
 /// Largest random deviation of a retry delay in either direction, as a
 /// fraction of the delay.
 constexpr double max_retry_jitter = 0.3;
+/// Wait of a watch that is answered at once. A node that starts to follow, or
+/// whose last call failed, does not know whether the store answers.
+constexpr duration first_watch_timeout = std::chrono::milliseconds(1);
 /// Time beyond the wait of a watch within which a call ends.
 constexpr duration max_call_overhead = std::chrono::milliseconds(1500);
 /// Limit of the keys and values of one list.
@@ -67,7 +70,7 @@
 void news_follower::send_next_call()
 {
     if (position_) {
-        request_changes();
+        request_changes(first_watch_timeout);
     } else {
         request_page(std::nullopt);
     }
@@ -207,7 +210,12 @@
 
 void news_follower::request_changes()
 {
-    calls_.watch(position_->revision(), options_.watch_timeout,
+    request_changes(options_.watch_timeout);
+}
+
+void news_follower::request_changes(duration wait)
+{
+    calls_.watch(position_->revision(), wait,
                  make_handler(&news_follower::handle_changes));
 }
 
--- a/packages/policy/include/tamarackhoist/policy/news_role.hpp
+++ b/packages/policy/include/tamarackhoist/policy/news_role.hpp
@@ -31,13 +31,15 @@
         /// way of its answer.
         runtime::duration max_age = std::chrono::milliseconds(1800);
         /// Addition to the two limits above for each rank.
-        runtime::duration timeout_per_rank = std::chrono::milliseconds(150);
+        runtime::duration timeout_per_rank = std::chrono::milliseconds(120);
         /// Higher ranks use the delay and timeout of this rank.
         std::size_t max_rank = 4;
 
         /// Returns the options with which each node learns of a change of the
         /// service before `deadline` has passed, also if the node that reads
-        /// the service for it is cut off right after an answer.
+        /// the service for it is cut off right after an answer. Such a
+        /// hand-over takes less time than registrations take to lapse while the
+        /// service is away.
         [[nodiscard]] static options for_deadline(runtime::duration deadline);
     };
 
--- a/packages/policy/src/news_role.cpp
+++ b/packages/policy/src/news_role.cpp
@@ -1,6 +1,7 @@
 #include <tamarackhoist/policy/news_role.hpp>
 
 #include <algorithm>
+#include <tamarackhoist/policy/lapse_detector.hpp>
 
 namespace tamarackhoist::policy
 {
@@ -14,16 +15,24 @@
 constexpr int watch_percent = 40;
 constexpr int silence_percent = 30;
 constexpr int age_percent = 60;
-constexpr int rank_percent = 5;
+constexpr int rank_percent = 4;
+/// Share of the deadline within which a node of any rank has taken over and has
+/// had an answer.
+constexpr int hand_over_percent = 80;
+/// With a longer deadline, a hand-over could not be told from an absence of the
+/// service.
+constexpr runtime::duration max_deadline =
+    lapse_detector::min_absence / hand_over_percent * 100;
 
 } // namespace
 
 news_role::options news_role::options::for_deadline(runtime::duration deadline)
 {
-    const auto percent = deadline / 100;
+    const auto percent = std::min(deadline, max_deadline) / 100;
     options result;
     result.watch_timeout = percent * watch_percent;
-    result.news_timeout = percent * silence_percent;
+    // A reader that is silent is noticed by the age of its news as well.
+    result.news_timeout = deadline / 100 * silence_percent;
     result.max_age = percent * age_percent;
     result.timeout_per_rank = percent * rank_percent;
     return result;
--- a/packages/policy/tests/lapse_detector_test.cpp
+++ b/packages/policy/tests/lapse_detector_test.cpp
@@ -1,4 +1,5 @@
 #include <tamarackhoist/policy/lapse_detector.hpp>
+#include <tamarackhoist/policy/news_role.hpp>
 
 #include <criterion/criterion.h>
 
@@ -9,6 +10,43 @@
 {
 
 constexpr runtime::time_point start_of_test{1000s};
+/// Time between two looks of a node at its role, and for the first answer of
+/// the store.
+constexpr auto reaction_time = 100ms;
+
+/// Returns after which time without a confirmation the node of `rank` reads the
+/// store itself, although its peers go on sending.
+runtime::duration find_hand_over_time(const policy::news_role::options& options,
+                                      std::size_t rank)
+{
+    policy::news_role role(options, start_of_test);
+    auto elapsed = 0ms;
+    while (!role.should_follow_service(rank, true, start_of_test + elapsed)) {
+        elapsed += 10ms;
+        role.record_peer_contact(start_of_test + elapsed);
+    }
+    return elapsed;
+}
+
+/// Guards against a mere hand-over of reading that counts as an absence of the
+/// store: at longer deadlines than 3 s nodes waited longer for the news than
+/// registrations take to lapse, and kept upstreams that had gone.
+void a_hand_over_of_reading_is_no_absence()
+{
+    for (const auto deadline : {1500ms, 3000ms, 5000ms, 6000ms, 60'000ms}) {
+        const auto options = policy::news_role::options::for_deadline(deadline);
+        for (const std::size_t rank : {1U, 2U, 3U, 4U, 40U}) {
+            const auto time = find_hand_over_time(options, rank);
+            policy::lapse_detector detector;
+            static_cast<void>(detector.record_confirmation(start_of_test));
+            cr_assert(!detector.record_confirmation(start_of_test + time +
+                                                    reaction_time),
+                      "deadline %lld ms, rank %zu: after %lld ms",
+                      static_cast<long long>(deadline.count()), rank,
+                      static_cast<long long>(runtime::to_milliseconds(time)));
+        }
+    }
+}
 
 /// The store is down for as long as two renewals of a registration take.
 void registrations_lapse_while_the_store_is_away()
@@ -40,6 +78,10 @@
 
 } // namespace
 
+Test(lapse_detector, hand_over)
+{
+    a_hand_over_of_reading_is_no_absence();
+}
 Test(lapse_detector, absence)
 {
     registrations_lapse_while_the_store_is_away();
