--- a/packages/platform/tests/news_follower_test.cpp
+++ b/packages/platform/tests/news_follower_test.cpp
@@ -40,9 +40,10 @@
                       calls.push_back("list " + after.value_or("-"));
                       respond(std::move(handle));
                   },
-                  [this](std::uint64_t after, runtime::duration,
+                  [this](std::uint64_t after, runtime::duration wait,
                          platform::store_calls::handler handle) {
                       calls.push_back("watch " + std::to_string(after));
+                      is_watch_held.push_back(wait > 1ms);
                       respond(std::move(handle));
                   }},
               platform::news_follower::observer{
@@ -84,6 +85,8 @@
 
     boost::asio::io_context context;
     std::vector<std::string> calls;
+    /// For each watch, whether the store was asked to wait for changes.
+    std::vector<bool> is_watch_held;
     std::vector<std::string> events;
     std::shared_ptr<platform::news_follower> follower;
 
@@ -500,6 +503,22 @@
               "a new outage is reported");
 }
 
+/// Guards against a hand-over of reading that lasts for one watch longer, as
+/// nothing has changed: the peers of the new reader would take over as well.
+void the_first_watch_is_answered_at_once()
+{
+    follower_fixture fixture;
+    fixture.run({news_batch{{}, 7, {}}});
+    fixture.follower->pause();
+    fixture.follower->resume();
+    fixture.answer_pending({news_batch{{}, 7, {}}});
+    fixture.answer_pending(store_error::unavailable);
+    fixture.answer_pending({news_batch{{}, 7, {}}});
+    cr_assert(fixture.is_watch_held ==
+                  (std::vector{true, false, true, false, true}),
+              "after a list, a resume and a failure, and in between");
+}
+
 } // namespace
 
 Test(news_follower, endless_pages)
@@ -514,6 +533,10 @@
 {
     the_result_of_a_call_pending_at_a_pause_is_used();
 }
+Test(news_follower, first_watch)
+{
+    the_first_watch_is_answered_at_once();
+}
 Test(news_follower, failures_before_pause)
 {
     failures_before_a_pause_are_forgotten();
